Add the design page, the build, the transport layer and the typed interfaces

Cause: the repository was empty; the modules need one agreed design and shared types before they can be written side by side. Conclusion: MsgPuck carries MessagePack, because libmsgpack-cxx-dev depends on Boost 1.74 and cannot be installed beside Boost 1.81. libjsonrpccpp's client headers do not compile as C++17, so one file is compiled as C++14.

--- /dev/null
+++ b/core/core.h
@@ -0,0 +1,4 @@
+#pragma once
+
+#include "core/enum_names.h"
+#include "core/result.h"
--- /dev/null
+++ b/misc/install_deps.sh
@@ -0,0 +1,22 @@
+#!/usr/bin/env bash
+# Installs the Debian packages that the build and the tests need. Does nothing when all are there.
+set -euo pipefail
+
+packages=(
+  g++ cmake ninja-build ccache clang-format clang-tidy git curl
+  libboost1.81-dev libboost-log1.81-dev libboost-json1.81-dev libboost-url1.81-dev
+  libjsonrpccpp-dev libjsoncpp-dev libcxxopts-dev libxxhash-dev libmsgpuck-dev
+  doctest-dev librapidcheck-dev
+)
+
+missing=()
+for package in "${packages[@]}"; do
+  dpkg-query -W -f='${Status}' "$package" 2>/dev/null | grep -q 'ok installed' || missing+=("$package")
+done
+if [ "${#missing[@]}" -eq 0 ]; then
+  exit 0
+fi
+echo "installing: ${missing[*]}"
+export DEBIAN_FRONTEND=noninteractive
+apt-get update -qq
+apt-get install -y -qq --no-install-recommends "${missing[@]}"
--- /dev/null
+++ b/misc/lint.sh
@@ -0,0 +1,27 @@
+#!/usr/bin/env bash
+# Checks format and lint of all sources. With --changed REV only the files changed since REV are linted.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+base=""
+if [ "${1:-}" = --changed ]; then
+  base=${2:?--changed needs a revision}
+fi
+mapfile -t sources < <(git ls-files '*.cpp' '*.h')
+if [ "${#sources[@]}" -eq 0 ]; then
+  exit 0
+fi
+echo "checking the format of ${#sources[@]} files"
+clang-format --dry-run --Werror "${sources[@]}"
+if [ -n "$base" ]; then
+  mapfile -t units < <(git diff --name-only --diff-filter=d "$base" -- '*.cpp')
+else
+  mapfile -t units < <(git ls-files '*.cpp')
+fi
+if [ "${#units[@]}" -eq 0 ]; then
+  exit 0
+fi
+echo "linting ${#units[@]} files (this takes some minutes)"
+# libstdc++ offers <coroutine> only to compilers that define this macro; clang 14 implements it without.
+printf '%s\n' "${units[@]}" | xargs -P "$(nproc)" -n 1 \
+  clang-tidy --quiet -p build --extra-arg=-D__cpp_impl_coroutine=201902L \
+  --extra-arg=-Wno-unknown-warning-option 2>/dev/null
--- /dev/null
+++ b/protocol/protocol.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "protocol/caller_codec.h"
+#include "protocol/caller_messages.h"
+#include "protocol/config_documents.h"
+#include "protocol/frame_codec.h"
+#include "protocol/frame_messages.h"
+#include "protocol/platform_codec.h"
+#include "protocol/platform_messages.h"
+#include "protocol/priority.h"
+#include "protocol/protocol_error.h"
+#include "protocol/upstream_codec.h"
+#include "protocol/upstream_messages.h"
+#include "protocol/view_codec.h"
+#include "protocol/view_messages.h"
--- /dev/null
+++ b/protocol/upstream_codec.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "protocol/upstream_messages.h"
+
+#include <string>
+#include <string_view>
+
+namespace persimmon::protocol {
+
+std::string encodeExecuteRequest(const ExecuteRequest &request);
+ProtocolResult<ExecuteRequest> decodeExecuteRequest(std::string_view body);
+
+/// @return the body of a reply; the HTTP status is executeStatus().
+std::string encodeExecuteReply(const ExecuteReply &reply);
+
+/// @param status HTTP status of the reply: 200, 400, 409 or 503.
+ProtocolResult<ExecuteReply> decodeExecuteReply(int status, std::string_view body);
+
+/// @return the HTTP status of @p reply.
+int executeStatus(const ExecuteReply &reply);
+
+std::string encodeCancelExecution(const CancelExecution &cancel);
+ProtocolResult<CancelExecution> decodeCancelExecution(std::string_view body);
+
+} // namespace persimmon::protocol
--- /dev/null
+++ b/protocol/view_codec.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "protocol/view_messages.h"
+
+#include <string>
+#include <string_view>
+
+namespace persimmon::protocol {
+
+/// JSON text of the parameters and results of the JSON-RPC method `exchange`.
+std::string encodeViewRequest(const ViewRequest &request);
+ProtocolResult<ViewRequest> decodeViewRequest(std::string_view text);
+
+std::string encodeViewReply(const ViewReply &reply);
+ProtocolResult<ViewReply> decodeViewReply(std::string_view text);
+
+} // namespace persimmon::protocol
--- /dev/null
+++ b/state/state.h
@@ -0,0 +1,4 @@
+#pragma once
+
+#include "state/cluster_view.h"
+#include "state/ownership.h"
--- /dev/null
+++ b/transport/frame_server.cpp
@@ -0,0 +1,87 @@
+#include "transport/frame_server.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+namespace persimmon::transport {
+
+namespace {
+
+constexpr auto AwaitTuple = asio::as_tuple(asio::use_awaitable);
+/// Wait after a failed accept, for example when descriptors run out.
+constexpr std::chrono::milliseconds AcceptRetryDelay{10};
+
+} // namespace
+
+struct FrameServer::State
+{
+    Runtime &runtime;
+    FrameOptions options;
+    AcceptHandler onAccept;
+    tcp::acceptor acceptor;
+    std::atomic<bool> closed = false;
+
+    static asio::awaitable<void> accept(std::shared_ptr<State> self);
+};
+
+asio::awaitable<void> FrameServer::State::accept(std::shared_ptr<State> self)
+{
+    while (!self->closed) {
+        auto [error, socket] =
+                co_await self->acceptor.async_accept(self->runtime.makeStrand(), AwaitTuple);
+        if (error == asio::error::operation_aborted || error == asio::error::bad_descriptor)
+            co_return;
+        if (error) {
+            co_await self->runtime.clock().sleep(AcceptRetryDelay);
+            continue;
+        }
+        self->onAccept(
+                std::make_shared<FrameConnection>(self->runtime, std::move(socket), self->options));
+    }
+}
+
+FrameServer::FrameServer(Runtime &runtime, FrameOptions options, AcceptHandler onAccept)
+    : state_(new State{runtime, std::move(options), std::move(onAccept),
+                       tcp::acceptor(runtime.makeStrand())})
+{
+}
+
+FrameServer::~FrameServer()
+{
+    close();
+}
+
+TransportResult<Endpoint> FrameServer::listen(const Endpoint &endpoint)
+{
+    auto &acceptor = state_->acceptor;
+    boost::system::error_code error;
+    acceptor.open(endpoint.protocol(), error);
+    if (!error)
+        acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    if (!error)
+        acceptor.bind(endpoint, error);
+    if (!error)
+        acceptor.listen(asio::socket_base::max_listen_connections, error);
+    if (error) {
+        return TransportError{TransportErrorCode::BindFailed, "cannot listen on "
+                                                                      + formatEndpoint(endpoint)
+                                                                      + ": " + error.message()};
+    }
+    asio::co_spawn(acceptor.get_executor(), State::accept(state_), asio::detached);
+    return acceptor.local_endpoint();
+}
+
+void FrameServer::close()
+{
+    state_->closed = true;
+    asio::post(state_->acceptor.get_executor(), [state = state_] {
+        boost::system::error_code ignored;
+        state->acceptor.close(ignored);
+    });
+}
+
+} // namespace persimmon::transport
--- /dev/null
+++ b/transport/http_connection.cpp
@@ -0,0 +1,118 @@
+#include "transport/http_connection.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace persimmon::transport {
+
+namespace {
+
+constexpr auto AwaitTuple = asio::as_tuple(asio::use_awaitable);
+
+TransportError makeError(const beast::error_code &error, bool written)
+{
+    auto code = TransportErrorCode::ConnectionLost;
+    if (error == beast::error::timeout)
+        code = TransportErrorCode::Timeout;
+    else if (error == http::error::body_limit)
+        code = TransportErrorCode::TooLarge;
+    else if (error.category() == make_error_code(http::error::bad_version).category()
+             && error != http::error::end_of_stream && error != http::error::partial_message)
+        code = TransportErrorCode::Malformed;
+    return {code, error.message(), written};
+}
+
+} // namespace
+
+HttpConnection::HttpConnection(asio::any_io_executor executor) : stream_(std::move(executor)) {}
+
+asio::awaitable<Status<TransportError>> HttpConnection::connect(Endpoint endpoint, Duration timeout)
+{
+    const auto self = shared_from_this();
+    stream_.expires_after(timeout);
+    const auto [error] = co_await stream_.async_connect(endpoint, AwaitTuple);
+    if (error) {
+        const auto code = error == beast::error::timeout ? TransportErrorCode::Timeout
+                                                         : TransportErrorCode::ConnectFailed;
+        co_return TransportError{code, formatEndpoint(endpoint) + ": " + error.message()};
+    }
+    beast::error_code ignored;
+    stream_.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+    host_ = formatEndpoint(endpoint);
+    open_ = true;
+    co_return Ok{};
+}
+
+asio::awaitable<TransportResult<HttpResponse>> HttpConnection::send(HttpRequest request,
+                                                                    Duration timeout)
+{
+    const auto self = shared_from_this();
+    if (!open_)
+        co_return TransportError{TransportErrorCode::Closed, "the connection is closed"};
+    http::request<http::string_body> message(http::string_to_verb(request.method), request.target,
+                                             11);
+    message.set(http::field::host, host_);
+    message.set(http::field::content_type, "application/json");
+    message.body() = std::move(request.body);
+    message.prepare_payload();
+    stream_.expires_after(timeout);
+    const auto [writeError, sent] = co_await http::async_write(stream_, message, AwaitTuple);
+    if (writeError) {
+        closeNow();
+        co_return makeError(writeError, sent > 0);
+    }
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(DefaultBodyLimit);
+    const auto [readError, received] =
+            co_await http::async_read(stream_, buffer_, parser, AwaitTuple);
+    if (readError) {
+        closeNow();
+        co_return makeError(readError, true);
+    }
+    stream_.expires_never();
+    auto response = parser.release();
+    if (!response.keep_alive())
+        closeNow();
+    co_return HttpResponse{static_cast<int>(response.result_int()), std::move(response.body()),
+                           std::string(response[http::field::content_type])};
+}
+
+void HttpConnection::close()
+{
+    open_ = false;
+    asio::post(stream_.get_executor(), [self = shared_from_this()] { self->closeNow(); });
+}
+
+void HttpConnection::closeNow()
+{
+    open_ = false;
+    beast::error_code ignored;
+    stream_.socket().close(ignored);
+}
+
+asio::awaitable<TransportResult<HttpResponse>> fetchOnce(Runtime &runtime, Endpoint endpoint,
+                                                         HttpRequest request, Duration timeout)
+{
+    const auto strand = runtime.makeStrand();
+    auto exchange = [](asio::any_io_executor executor, Endpoint target, HttpRequest message,
+                       Duration limit) -> asio::awaitable<TransportResult<HttpResponse>> {
+        const auto connection = std::make_shared<HttpConnection>(executor);
+        const auto connected = co_await connection->connect(target, limit);
+        if (!isOk(connected))
+            co_return errorOf(connected);
+        auto response = co_await connection->send(std::move(message), limit);
+        connection->close();
+        co_return response;
+    };
+    co_return co_await asio::co_spawn(
+            strand, exchange(strand, endpoint, std::move(request), timeout), asio::use_awaitable);
+}
+
+} // namespace persimmon::transport
--- /dev/null
+++ b/transport/http_server.cpp
@@ -0,0 +1,228 @@
+#include "transport/http_server.h"
+
+#include "transport/log.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+
+namespace persimmon::transport {
+
+namespace {
+
+constexpr auto AwaitTuple = asio::as_tuple(asio::use_awaitable);
+constexpr std::chrono::milliseconds DrainPollInterval{10};
+
+struct Session
+{
+    explicit Session(tcp::socket socket) : stream(std::move(socket)) {}
+
+    void close()
+    {
+        beast::error_code ignored;
+        stream.socket().close(ignored);
+    }
+
+    beast::tcp_stream stream;
+    bool busy = false;
+};
+
+} // namespace
+
+struct HttpServer::State
+{
+    State(Runtime &owner, HttpHandler requestHandler, HttpServerOptions serverOptions)
+        : runtime(owner),
+          handler(std::move(requestHandler)),
+          options(std::move(serverOptions)),
+          acceptor(owner.makeStrand())
+    {
+    }
+
+    Runtime &runtime;
+    HttpHandler handler;
+    HttpServerOptions options;
+    tcp::acceptor acceptor;
+    std::atomic<bool> draining = false;
+    std::atomic<std::size_t> active = 0;
+    std::mutex mutex;
+    std::set<std::shared_ptr<Session>> sessions;
+
+    void forEachSession(const std::function<void(Session &)> &action)
+    {
+        const std::lock_guard lock(mutex);
+        for (const auto &session : sessions) {
+            asio::post(session->stream.get_executor(), [session, action] { action(*session); });
+        }
+    }
+
+    void remove(const std::shared_ptr<Session> &session)
+    {
+        const std::lock_guard lock(mutex);
+        sessions.erase(session);
+    }
+
+    asio::awaitable<bool> write(Session &session, HttpResponse response, unsigned version,
+                                bool keepAlive);
+    asio::awaitable<bool> serveOne(Session &session, beast::flat_buffer &buffer);
+    static asio::awaitable<void> serve(std::shared_ptr<State> self,
+                                       std::shared_ptr<Session> session);
+    static asio::awaitable<void> accept(std::shared_ptr<State> self);
+};
+
+asio::awaitable<bool> HttpServer::State::write(Session &session, HttpResponse response,
+                                               unsigned version, bool keepAlive)
+{
+    http::response<http::string_body> message(static_cast<http::status>(response.status), version);
+    message.set(http::field::content_type, response.contentType);
+    message.keep_alive(keepAlive);
+    message.body() = std::move(response.body);
+    message.prepare_payload();
+    const auto [error, bytes] = co_await http::async_write(session.stream, message, AwaitTuple);
+    co_return !error && keepAlive;
+}
+
+asio::awaitable<bool> HttpServer::State::serveOne(Session &session, beast::flat_buffer &buffer)
+{
+    http::request_parser<http::string_body> parser;
+    parser.body_limit(options.bodyLimit);
+    session.stream.expires_after(options.idleTimeout);
+    const auto [error, bytes] =
+            co_await http::async_read(session.stream, buffer, parser, AwaitTuple);
+    if (error == http::error::body_limit) {
+        co_await write(session, options.tooLarge(), 11, false);
+        co_return false;
+    }
+    if (error)
+        co_return false;
+    session.busy = true;
+    session.stream.expires_never();
+    auto message = parser.release();
+    HttpRequest request{std::string(message.method_string()), std::string(message.target()),
+                        std::move(message.body())};
+    ++active;
+    HttpResponse response;
+    bool failed = false;
+    try {
+        response = co_await handler(std::move(request));
+    } catch (const std::exception &exception) {
+        failed = true;
+        logError("http", "A request handler failed.", {{"reason", exception.what()}});
+    }
+    if (failed)
+        response = {500, R"({"error":"internal"})"};
+    const bool keepAlive = message.keep_alive() && !draining;
+    const bool open = co_await write(session, std::move(response), message.version(), keepAlive);
+    --active;
+    session.busy = false;
+    co_return open;
+}
+
+asio::awaitable<void> HttpServer::State::serve(std::shared_ptr<State> self,
+                                               std::shared_ptr<Session> session)
+{
+    beast::flat_buffer buffer;
+    while (!self->draining || buffer.size() > 0) {
+        if (!co_await self->serveOne(*session, buffer))
+            break;
+    }
+    beast::error_code ignored;
+    session->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    session->close();
+    self->remove(session);
+}
+
+asio::awaitable<void> HttpServer::State::accept(std::shared_ptr<State> self)
+{
+    while (!self->draining) {
+        auto [error, socket] =
+                co_await self->acceptor.async_accept(self->runtime.makeStrand(), AwaitTuple);
+        if (error == asio::error::operation_aborted || error == asio::error::bad_descriptor)
+            co_return;
+        if (error) {
+            // Running out of descriptors must not turn the accept loop into a busy loop.
+            co_await self->runtime.clock().sleep(DrainPollInterval);
+            continue;
+        }
+        beast::error_code ignored;
+        socket.set_option(tcp::no_delay(true), ignored);
+        auto session = std::make_shared<Session>(std::move(socket));
+        {
+            const std::lock_guard lock(self->mutex);
+            self->sessions.insert(session);
+        }
+        asio::co_spawn(session->stream.get_executor(), serve(self, session), asio::detached);
+    }
+}
+
+HttpServer::HttpServer(Runtime &runtime, HttpHandler handler, HttpServerOptions options)
+    : state_(std::make_shared<State>(runtime, std::move(handler), std::move(options))),
+      runtime_(runtime)
+{
+}
+
+HttpServer::~HttpServer()
+{
+    close();
+}
+
+TransportResult<Endpoint> HttpServer::listen(const Endpoint &endpoint)
+{
+    boost::system::error_code error;
+    auto &acceptor = state_->acceptor;
+    acceptor.open(endpoint.protocol(), error);
+    if (!error)
+        acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    if (!error)
+        acceptor.bind(endpoint, error);
+    if (!error)
+        acceptor.listen(asio::socket_base::max_listen_connections, error);
+    if (error) {
+        return TransportError{TransportErrorCode::BindFailed, "cannot listen on "
+                                                                      + formatEndpoint(endpoint)
+                                                                      + ": " + error.message()};
+    }
+    asio::co_spawn(acceptor.get_executor(), State::accept(state_), asio::detached);
+    return acceptor.local_endpoint();
+}
+
+asio::awaitable<void> HttpServer::drain()
+{
+    const auto state = state_;
+    state->draining = true;
+    asio::post(state->acceptor.get_executor(), [state] {
+        boost::system::error_code ignored;
+        state->acceptor.close(ignored);
+    });
+    state->forEachSession([](Session &session) {
+        if (!session.busy)
+            session.close();
+    });
+    while (state->active > 0)
+        co_await runtime_.clock().sleep(DrainPollInterval);
+}
+
+void HttpServer::close()
+{
+    const auto state = state_;
+    state->draining = true;
+    asio::post(state->acceptor.get_executor(), [state] {
+        boost::system::error_code ignored;
+        state->acceptor.close(ignored);
+    });
+    state->forEachSession([](Session &session) { session.close(); });
+}
+
+std::size_t HttpServer::activeRequests() const
+{
+    return state_->active;
+}
+
+} // namespace persimmon::transport
--- /dev/null
+++ b/transport/runtime.cpp
@@ -0,0 +1,72 @@
+#include "transport/runtime.h"
+
+#include "transport/log.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+
+#include <algorithm>
+#include <csignal>
+
+namespace asio = boost::asio;
+
+namespace persimmon::transport {
+
+Runtime::Runtime(int threads)
+    : threadCount_(std::max(1, threads)),
+      context_(threadCount_),
+      work_(asio::make_work_guard(context_)),
+      signals_(context_)
+{
+}
+
+Runtime::~Runtime()
+{
+    stop();
+}
+
+void Runtime::spawn(asio::awaitable<void> task)
+{
+    asio::co_spawn(makeStrand(), std::move(task), [](const std::exception_ptr &failure) {
+        if (!failure)
+            return;
+        try {
+            std::rethrow_exception(failure);
+        } catch (const std::exception &exception) {
+            logError("runtime", std::string("A task ended with an exception: ") + exception.what());
+        }
+    });
+}
+
+void Runtime::onTermination(std::function<void()> handler)
+{
+    signals_.add(SIGTERM);
+    signals_.add(SIGINT);
+    signals_.async_wait([handler = std::move(handler)](boost::system::error_code error, int) {
+        if (!error)
+            handler();
+    });
+}
+
+void Runtime::run()
+{
+    start();
+    for (auto &thread : threads_)
+        thread.join();
+    threads_.clear();
+}
+
+void Runtime::start()
+{
+    for (int i = 0; i < threadCount_; ++i)
+        threads_.emplace_back([this] { context_.run(); });
+}
+
+void Runtime::stop()
+{
+    context_.stop();
+    for (auto &thread : threads_)
+        thread.join();
+    threads_.clear();
+}
+
+} // namespace persimmon::transport
--- /dev/null
+++ b/transport/transport.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "transport/clock.h"
+#include "transport/endpoint.h"
+#include "transport/frame_connection.h"
+#include "transport/frame_server.h"
+#include "transport/http_connection.h"
+#include "transport/http_message.h"
+#include "transport/http_server.h"
+#include "transport/latency_histogram.h"
+#include "transport/log.h"
+#include "transport/metrics.h"
+#include "transport/rpc_client.h"
+#include "transport/rpc_service.h"
+#include "transport/runtime.h"
+#include "transport/settings.h"
+#include "transport/transport_error.h"
