--- a/protocol/protocol.h
+++ b/protocol/protocol.h
@@ -3,6 +3,7 @@
 #include "protocol/caller_codec.h"
 #include "protocol/caller_messages.h"
 #include "protocol/config_documents.h"
+#include "protocol/default_ports.h"
 #include "protocol/frame_codec.h"
 #include "protocol/frame_messages.h"
 #include "protocol/platform_codec.h"
