--- /dev/null
+++ b/protocol/config_documents.cpp
@@ -0,0 +1,95 @@
+#include "protocol/config_documents.h"
+
+#include "protocol/config_checks.h"
+#include "protocol/json_reader.h"
+
+#include <xxhash.h>
+
+#include <optional>
+
+namespace persimmon::protocol {
+
+namespace {
+
+/// Largest value of the configuration service, in bytes.
+constexpr std::size_t ConfigValueLimit = 1024U * 1024U;
+
+using Parser = ConfigDocument (*)(const JsonReader &);
+
+/// Kind of document behind a key.
+struct KeyKind
+{
+    std::string_view prefix;
+    /// Whether a name follows the prefix.
+    bool isNamed;
+    Parser parser;
+};
+
+ConfigDocument parseProfile(const JsonReader &reader)
+{
+    return readProfile(reader);
+}
+
+ConfigDocument parseGroup(const JsonReader &reader)
+{
+    return readGroupSettings(reader);
+}
+
+ConfigDocument parseIndex(const JsonReader &reader)
+{
+    return readGroupIndex(reader);
+}
+
+ConfigDocument parseOutOfService(const JsonReader &reader)
+{
+    return readOutOfService(reader);
+}
+
+constexpr std::array<KeyKind, 5> KeyKinds{{
+        {"profile/", true, parseProfile},
+        {"group/", true, parseGroup},
+        {"index/", true, parseIndex},
+        {"out/domains", false, parseOutOfService},
+        {"out/hosts", false, parseOutOfService},
+}};
+
+const KeyKind *findKind(std::string_view key)
+{
+    for (const auto &kind : KeyKinds) {
+        if (!kind.isNamed && key == kind.prefix)
+            return &kind;
+        if (kind.isNamed && key.starts_with(kind.prefix)
+            && isWellFormedName(key.substr(kind.prefix.size())))
+            return &kind;
+    }
+    return nullptr;
+}
+
+} // namespace
+
+Result<ConfigDocument, ConfigFault> parseConfigDocument(std::string_view key, std::string_view text)
+{
+    const auto *kind = findKind(key);
+    if (kind == nullptr) {
+        return ConfigFault{std::string(key.substr(0, NameLimit)), "", "",
+                           "the key must be profile/<name>, group/<name>, index/<group>, "
+                           "out/domains or out/hosts"};
+    }
+    if (text.size() > ConfigValueLimit)
+        return ConfigFault{std::string(key), "", "", "the value is larger than 1 MB"};
+    std::optional<JsonFault> fault;
+    const auto value = parseJson(text, fault);
+    if (value) {
+        auto document = kind->parser(JsonReader(*value, "", fault));
+        if (!fault)
+            return document;
+    }
+    return ConfigFault{std::string(key), fault->path, fault->value, fault->reason};
+}
+
+std::uint32_t keyPosition(std::string_view key)
+{
+    return static_cast<std::uint32_t>(XXH64(key.data(), key.size(), 0) % KeySpaceSize);
+}
+
+} // namespace persimmon::protocol
--- /dev/null
+++ b/protocol/host_record_json.cpp
@@ -0,0 +1,47 @@
+#include "protocol/host_record_json.h"
+
+namespace json = boost::json;
+
+namespace persimmon::protocol {
+
+namespace {
+
+HostRecord readHost(const JsonReader &reader)
+{
+    HostRecord host;
+    host.name = reader.member("name").name();
+    host.kind = reader.member("kind").choice(HostKindNames);
+    host.address = reader.member("address").name();
+    host.failureDomain = reader.member("failure_domain").name();
+    if (host.kind == HostKind::Upstream)
+        host.service = reader.member("service").name();
+    host.state = reader.member("state").choice(HostStateNames);
+    return host;
+}
+
+} // namespace
+
+json::array hostsArray(const std::vector<HostRecord> &hosts)
+{
+    json::array rows;
+    for (const auto &host : hosts) {
+        json::object row{{"name", host.name},
+                         {"kind", enumName(HostKindNames, host.kind)},
+                         {"address", host.address},
+                         {"failure_domain", host.failureDomain},
+                         {"state", enumName(HostStateNames, host.state)}};
+        if (host.kind == HostKind::Upstream)
+            row["service"] = host.service;
+        rows.emplace_back(std::move(row));
+    }
+    return rows;
+}
+
+std::vector<HostRecord> readHosts(const JsonReader &reader)
+{
+    std::vector<HostRecord> hosts;
+    reader.forEach([&](const JsonReader &row) { hosts.push_back(readHost(row)); });
+    return hosts;
+}
+
+} // namespace persimmon::protocol
--- /dev/null
+++ b/protocol/json_reader.cpp
@@ -0,0 +1,264 @@
+#include "protocol/json_reader.h"
+
+#include <algorithm>
+#include <cmath>
+#include <sstream>
+#include <vector>
+
+namespace json = boost::json;
+
+namespace persimmon::protocol {
+
+namespace {
+
+/// Longest value text in a fault, in bytes.
+constexpr std::size_t FaultValueLimit = 200;
+
+const json::value NullValue;
+
+std::string shortText(const json::value &value)
+{
+    auto text = json::serialize(value);
+    if (text.size() <= FaultValueLimit)
+        return text;
+    auto end = FaultValueLimit;
+    // A cut inside a UTF-8 sequence would make the fault itself invalid JSON text.
+    while (end > 0 && (static_cast<unsigned char>(text[end]) & 0xC0U) == 0x80U)
+        --end;
+    return text.substr(0, end) + "...";
+}
+
+std::string escapePointer(std::string_view name)
+{
+    std::string escaped;
+    for (const auto letter : name) {
+        if (letter == '~')
+            escaped += "~0";
+        else if (letter == '/')
+            escaped += "~1";
+        else
+            escaped += letter;
+    }
+    return escaped;
+}
+
+template <typename Number>
+std::string rangeText(const char *kind, Number least, Number most)
+{
+    std::ostringstream text;
+    text << "must be " << kind << " from " << least << " to " << most;
+    return text.str();
+}
+
+} // namespace
+
+ProtocolError toProtocolError(const JsonFault &fault)
+{
+    return {fault.code, fault.path.empty() ? fault.reason : fault.path + ": " + fault.reason};
+}
+
+JsonReader::JsonReader(const json::value &value, std::string path, std::optional<JsonFault> &fault)
+    : value_(value),
+      path_(std::move(path)),
+      fault_(fault)
+{
+}
+
+bool JsonReader::has(std::string_view name) const
+{
+    if (!value_.is_object())
+        return false;
+    const auto *found = value_.get_object().if_contains(name);
+    return found != nullptr && !found->is_null();
+}
+
+JsonReader JsonReader::member(std::string_view name) const
+{
+    const auto *object = value_.if_object();
+    if (object == nullptr)
+        fail(ProtocolErrorCode::InvalidValue, "must be an object");
+    const auto *found = object == nullptr ? nullptr : object->if_contains(name);
+    const JsonReader reader(found == nullptr ? NullValue : *found,
+                            path_ + "/" + escapePointer(name), fault_);
+    if (found == nullptr)
+        reader.fail(ProtocolErrorCode::MissingField, "is missing");
+    return reader;
+}
+
+void JsonReader::allowOnly(std::initializer_list<std::string_view> names) const
+{
+    if (!value_.is_object()) {
+        fail(ProtocolErrorCode::InvalidValue, "must be an object");
+        return;
+    }
+    for (const auto &row : value_.get_object()) {
+        const std::string_view name(row.key().data(), row.key().size());
+        if (std::find(names.begin(), names.end(), name) != names.end())
+            continue;
+        const JsonReader reader(row.value(), path_ + "/" + escapePointer(name), fault_);
+        reader.fail(ProtocolErrorCode::InvalidValue, "is not a known member");
+    }
+}
+
+std::string JsonReader::text(std::size_t least, std::size_t most) const
+{
+    if (!value_.is_string()) {
+        fail(ProtocolErrorCode::InvalidValue, "must be a string");
+        return {};
+    }
+    const auto &text = value_.get_string();
+    if (text.size() >= least && text.size() <= most)
+        return {text.data(), text.size()};
+    fail(ProtocolErrorCode::InvalidValue, rangeText("a string with a byte count", least, most));
+    return {};
+}
+
+std::uint64_t JsonReader::integer(std::uint64_t least, std::uint64_t most) const
+{
+    std::uint64_t number = 0;
+    bool valid = false;
+    if (value_.is_uint64()) {
+        number = value_.get_uint64();
+        valid = true;
+    } else if (value_.is_int64() && value_.get_int64() >= 0) {
+        number = static_cast<std::uint64_t>(value_.get_int64());
+        valid = true;
+    }
+    if (valid && number >= least && number <= most)
+        return number;
+    fail(ProtocolErrorCode::InvalidValue, rangeText("a whole number", least, most));
+    return least;
+}
+
+std::uint32_t JsonReader::integer32(std::uint32_t least) const
+{
+    return static_cast<std::uint32_t>(integer(least, std::numeric_limits<std::uint32_t>::max()));
+}
+
+double JsonReader::number(double least, double most) const
+{
+    if (value_.is_number()) {
+        const auto number = value_.to_number<double>();
+        if (std::isfinite(number) && number >= least && number <= most)
+            return number;
+    }
+    fail(ProtocolErrorCode::InvalidValue, rangeText("a number", least, most));
+    return least;
+}
+
+bool JsonReader::boolean() const
+{
+    if (value_.is_bool())
+        return value_.get_bool();
+    fail(ProtocolErrorCode::InvalidValue, "must be true or false");
+    return false;
+}
+
+std::chrono::milliseconds JsonReader::milliseconds(std::chrono::milliseconds least,
+                                                   std::chrono::milliseconds most) const
+{
+    return std::chrono::milliseconds(integer(static_cast<std::uint64_t>(least.count()),
+                                             static_cast<std::uint64_t>(most.count())));
+}
+
+std::string JsonReader::rawText(json::kind kind) const
+{
+    if (value_.kind() == kind)
+        return json::serialize(value_);
+    const auto name = json::to_string(kind);
+    fail(ProtocolErrorCode::InvalidValue,
+         "must be of type " + std::string(name.data(), name.size()));
+    return {};
+}
+
+std::string JsonReader::canonicalObject() const
+{
+    std::string text;
+    if (!value_.is_object())
+        fail(ProtocolErrorCode::InvalidValue, "must be an object");
+    else
+        appendCanonicalJson(text, value_);
+    return text;
+}
+
+void JsonReader::forEach(const std::function<void(const JsonReader &)> &visit) const
+{
+    if (!value_.is_array()) {
+        fail(ProtocolErrorCode::InvalidValue, "must be an array");
+        return;
+    }
+    std::size_t index = 0;
+    for (const auto &element : value_.get_array()) {
+        if (failed())
+            return;
+        visit(JsonReader(element, path_ + "/" + std::to_string(index), fault_));
+        ++index;
+    }
+}
+
+void JsonReader::fail(ProtocolErrorCode code, std::string reason) const
+{
+    if (!fault_)
+        fault_ = JsonFault{code, path_, shortText(value_), std::move(reason)};
+}
+
+std::optional<json::value> parseJson(std::string_view text, std::optional<JsonFault> &fault,
+                                     std::size_t depth)
+{
+    json::parse_options options;
+    options.max_depth = depth;
+    json::error_code failure;
+    auto value = json::parse(text, failure, {}, options);
+    if (!failure)
+        return value;
+    fault = JsonFault{ProtocolErrorCode::Malformed, "", "",
+                      "is not valid JSON: " + failure.message()};
+    return std::nullopt;
+}
+
+void appendCanonicalJson(std::string &text, const json::value &value)
+{
+    if (const auto *array = value.if_array()) {
+        text += '[';
+        for (std::size_t index = 0; index < array->size(); ++index) {
+            text += index == 0 ? "" : ",";
+            appendCanonicalJson(text, (*array)[index]);
+        }
+        text += ']';
+        return;
+    }
+    const auto *object = value.if_object();
+    if (object == nullptr) {
+        text += json::serialize(value);
+        return;
+    }
+    std::vector<const json::key_value_pair *> members;
+    for (const auto &member : *object)
+        members.push_back(&member);
+    std::sort(members.begin(), members.end(),
+              [](const auto *left, const auto *right) { return left->key() < right->key(); });
+    text += '{';
+    for (std::size_t index = 0; index < members.size(); ++index) {
+        text += index == 0 ? "" : ",";
+        text += json::serialize(json::string(members[index]->key()));
+        text += ':';
+        appendCanonicalJson(text, members[index]->value());
+    }
+    text += '}';
+}
+
+std::int64_t millisecondCount(std::chrono::milliseconds duration)
+{
+    return std::max<std::int64_t>(duration.count(), 0);
+}
+
+std::string withRawMember(std::string object, std::string_view name, std::string_view value,
+                          std::string_view fallback)
+{
+    object.pop_back();
+    object.append(object.size() > 1 ? ",\"" : "\"").append(name).append("\":");
+    object.append(value.empty() ? fallback : value).append("}");
+    return object;
+}
+
+} // namespace persimmon::protocol
--- /dev/null
+++ b/protocol/platform_codec.cpp
@@ -0,0 +1,77 @@
+#include "protocol/platform_codec.h"
+
+#include "protocol/host_record_json.h"
+
+namespace json = boost::json;
+
+namespace persimmon::protocol {
+
+namespace {
+
+/// Values are validated key by key later. One deeply nested value must not make the reply
+/// unreadable and thereby hold back the changes of all other keys.
+constexpr std::size_t ConfigJsonDepth = 1024;
+
+ConfigEntry readEntry(const JsonReader &reader)
+{
+    ConfigEntry entry;
+    entry.key = reader.member("key").name();
+    entry.revision = reader.member("revision").integer();
+    const auto value = reader.member("value");
+    if (!value.value().is_null())
+        entry.value = json::serialize(value.value());
+    return entry;
+}
+
+ConfigReply readConfig(const JsonReader &reader)
+{
+    ConfigReply reply;
+    reply.revision = reader.member("revision").integer();
+    reader.member("entries").forEach(
+            [&](const JsonReader &row) { reply.entries.push_back(readEntry(row)); });
+    return reply;
+}
+
+HostsReply readHostsReply(const JsonReader &reader)
+{
+    HostsReply reply;
+    reply.revision = reader.member("revision").integer();
+    if (reader.has("hosts"))
+        reply.hosts = readHosts(reader.member("hosts"));
+    return reply;
+}
+
+} // namespace
+
+std::string encodeConfigReply(const ConfigReply &reply)
+{
+    std::string entries;
+    for (const auto &entry : reply.entries) {
+        const json::object row{{"key", entry.key}, {"revision", entry.revision}};
+        entries += entries.empty() ? "[" : ",";
+        entries += withRawMember(json::serialize(row), "value", entry.value.value_or(""), "null");
+    }
+    entries += entries.empty() ? "[]" : "]";
+    return withRawMember(json::serialize(json::object{{"revision", reply.revision}}), "entries",
+                         entries, "[]");
+}
+
+ProtocolResult<ConfigReply> decodeConfigReply(std::string_view body)
+{
+    return decodeJson<ConfigReply>(body, readConfig, ConfigJsonDepth);
+}
+
+std::string encodeHostsReply(const HostsReply &reply)
+{
+    json::object body{{"revision", reply.revision}};
+    if (reply.hosts)
+        body["hosts"] = hostsArray(*reply.hosts);
+    return json::serialize(body);
+}
+
+ProtocolResult<HostsReply> decodeHostsReply(std::string_view body)
+{
+    return decodeJson<HostsReply>(body, readHostsReply);
+}
+
+} // namespace persimmon::protocol
