Test the codecs and fuzz the decoders of both own protocols

The codecs had no tests. Round trips run over all messages, with RapidCheck for frames and configuration documents; hostile sizes, enumerators and texts must give errors.

--- /dev/null
+++ b/tests/protocol/test_json_codecs.cpp
@@ -0,0 +1,157 @@
+#include "protocol/protocol.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+using namespace persimmon;
+using namespace persimmon::protocol;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr const char *GoodQuery = R"({"profile":"p","caller":"c","query":{}})";
+
+template <typename Message>
+const Message &require(const ProtocolResult<Message> &result)
+{
+    if (!isOk(result))
+        FAIL(errorOf(result).message);
+    return valueOf(result);
+}
+
+ViewReply makeReply()
+{
+    ViewReply reply;
+    reply.host = "h1";
+    reply.configRevision = ~0ULL;
+    reply.configDigest = ~0ULL - 1;
+    reply.entries = {{"out/hosts", 4, "[\"h\\u0000\\\"\"]"}, {"profile/x", 5, std::nullopt}};
+    reply.hostsRevision = 3;
+    reply.hosts = {{"u1", HostKind::Upstream, "127.0.0.1:80", "d1", "s-01", HostState::Leaving},
+                   {"h1", HostKind::Entry, "127.0.0.1", "d1", "", HostState::Live}};
+    reply.quarantine = {{~0ULL, 600s}};
+    reply.leaving = {{"h2", 9, 10s}};
+    reply.incarnations = {{"h3", 1, 2, 3}};
+    reply.confirmedAge = 48h;
+    reply.ready = true;
+    return reply;
+}
+
+QueryAnswer makeDone()
+{
+    QueryAnswer answer;
+    answer.outcome = Outcome::Done;
+    answer.requestId = "h.1.2:x";
+    answer.snapshot = 12;
+    answer.snapshotToken = "g:12";
+    answer.coverage = Coverage{0.95, 20, 19, {"g-07"}};
+    answer.items = "[1,{\"a\":\"b\"}]";
+    answer.elapsed = 12'345us;
+    answer.executions = 21;
+    return answer;
+}
+
+} // namespace
+
+// Guards against fields that are lost or renamed between the two sides of an interface.
+TEST_CASE("JSON messages survive encoding and decoding")
+{
+    const auto reply = makeReply();
+    CHECK(require(decodeViewReply(encodeViewReply(reply))) == reply);
+    const ViewRequest request{"h", 1, 2, true, 3, {{4, 5ms}}, {{"l", 6, 7ms}}, {{"i", 8, 9, 10}}};
+    CHECK(require(decodeViewRequest(encodeViewRequest(request))) == request);
+
+    const auto done = makeDone();
+    CHECK(require(decodeQueryAnswer(encodeQueryAnswer(done))) == done);
+    auto refusal = makeRefusal(CallerError::ShuttingDown, "use \"another\"");
+    refusal.home = LocateAnswer{"127.0.0.1:1", 10s, "h.1.2"};
+    refusal.retryAfter = 50ms;
+    CHECK(require(decodeQueryAnswer(encodeQueryAnswer(refusal))) == refusal);
+    CHECK(require(decodeLocateAnswer(encodeLocateAnswer(*refusal.home))) == *refusal.home);
+    const QueryRequest query{"p", "c", R"({"a":1})", "k", 50ms, "g:1", "h.1.2:x"};
+    CHECK(require(decodeQueryRequest(encodeQueryRequest(query))) == query);
+
+    const ExecuteRequest execute{"r", 2, "s", 3, 40ms, Priority::Bulk, R"({"a":[]})", "k"};
+    CHECK(require(decodeExecuteRequest(encodeExecuteRequest(execute))) == execute);
+    const ExecuteReply replies[] = {ExecuteAnswer{"r", 1, "s", 2, "i", "[{}]"},
+                                    ExecuteRefusal{UpstreamRefusal::SnapshotMissing, "i", {11}},
+                                    ExecuteRefusal{UpstreamRefusal::Draining, "i", {}}};
+    for (const auto &sent : replies)
+        CHECK(require(decodeExecuteReply(executeStatus(sent), encodeExecuteReply(sent))) == sent);
+    const CancelExecution cancel{"r", 3};
+    CHECK(require(decodeCancelExecution(encodeCancelExecution(cancel))) == cancel);
+
+    const ConfigReply config{7, {{"a", 1, "[1]"}, {"b", 2, std::nullopt}}};
+    CHECK(require(decodeConfigReply(encodeConfigReply(config))) == config);
+    for (const auto &hosts : {HostsReply{1, std::nullopt}, HostsReply{2, reply.hosts}})
+        CHECK(require(decodeHostsReply(encodeHostsReply(hosts))) == hosts);
+}
+
+// Guards against a fingerprint that depends on the order in which a caller writes members.
+TEST_CASE("the query is read in canonical form")
+{
+    const auto body = R"({"query":{"b":[{"z":1,"y":"\u0041"}],"a":{"d":0.5,"c":null}},)"
+                      R"("caller":"c","profile":"p"})";
+    CHECK(require(decodeQueryRequest(body)).query
+          == R"({"a":{"c":null,"d":5E-1},"b":[{"y":"A","z":1}]})");
+}
+
+// Guards against misspelt members that would be ignored, and against a refusal without a path.
+TEST_CASE("faulty bodies are refused with the path")
+{
+    CHECK(isOk(decodeQueryRequest(GoodQuery)));
+    const std::pair<const char *, const char *> faults[] = {
+            {R"({"profile":"p","caller":"c","query":{},"dead_line":1})", "/dead_line: "},
+            {R"({"profile":"p","caller":"c","query":[]})", "/query: "},
+            {R"({"profile":"p","caller":"c"})", "/query: is missing"},
+            {R"({"profile":"","caller":"c","query":{}})", "/profile: "},
+            {R"({"profile":"p","caller":"c","query":{},"deadline_ms":-1})", "/deadline_ms: "},
+            {R"({"profile":"p","caller":"c","query":{},"deadline_ms":1.5})", "/deadline_ms: "},
+            {R"([])", "must be an object"},
+            {R"({"profile":)", "is not valid JSON"},
+    };
+    for (const auto &[body, path] : faults) {
+        const auto result = decodeQueryRequest(body);
+        REQUIRE_FALSE(isOk(result));
+        CHECK(errorOf(result).message.starts_with(path));
+    }
+    const auto nested = std::string(100'000, '[');
+    CHECK_FALSE(isOk(decodeQueryRequest(nested)));
+    CHECK_FALSE(isOk(decodeConfigReply(nested)));
+    const auto large = decodeQueryRequest(std::string(CallerBodyLimit + 1, ' '));
+    REQUIRE_FALSE(isOk(large));
+    CHECK(errorOf(large).code == ProtocolErrorCode::TooLarge);
+}
+
+// Guards against an unclear upstream answer that counts as "not executed" and is retried.
+TEST_CASE("an upstream refusal needs a reason that fits its status")
+{
+    CHECK_FALSE(isOk(decodeExecuteReply(503, R"({"error":"snapshot_missing"})")));
+    CHECK_FALSE(isOk(decodeExecuteReply(409, R"({"error":"shed"})")));
+    CHECK_FALSE(isOk(decodeExecuteReply(503, "")));
+    CHECK_FALSE(isOk(decodeExecuteReply(500, R"({"error":"shed"})")));
+    CHECK_FALSE(isOk(decodeExecuteReply(200, R"({"error":"shed"})")));
+    CHECK_FALSE(
+            isOk(decodeQueryAnswer(R"({"outcome":"not_run","error":"home_lost","message":""})")));
+}
+
+// Guards against an exception or an over-read on any text; a decoder may only return an error.
+TEST_CASE("JSON decoders return on damaged texts")
+{
+    CHECK(rc::check([] {
+        auto text = *rc::gen::element(encodeViewReply(makeReply()), encodeQueryAnswer(makeDone()),
+                                      std::string(GoodQuery));
+        const auto flips = *rc::gen::inRange(1, 6);
+        for (int flip = 0; flip < flips; ++flip)
+            text[*rc::gen::inRange<std::size_t>(0, text.size())] = *rc::gen::arbitrary<char>();
+        decodeViewReply(text);
+        decodeViewRequest(text);
+        decodeQueryAnswer(text);
+        decodeQueryRequest(text);
+        decodeExecuteReply(200, text);
+        decodeConfigReply(text);
+        decodeHostsReply(text);
+        decodeFrameJson(text);
+        parseConfigDocument("profile/x", text);
+    }));
+}
