--- a/transport/rpc_client.cpp
+++ b/transport/rpc_client.cpp
@@ -29,7 +29,7 @@
     }
     HttpRequest request("POST", RpcPath, buildRpcRequest(method, parameters));
     const auto connection = connection_;
-    auto response = co_await connection->send({"POST", RpcPath, body}, timeout);
+    auto response = co_await connection->send(std::move(request), timeout);
     if (!isOk(response))
         co_return errorOf(response);
     Json::Value result;
