Add the pure merge of configuration, hosts and quarantine

Every process needs the same view of the cluster from answers that are stale, late or crossed. ConfigStore keeps the newest and the newest valid entry of each key; both rise only, so merges in any order converge. A rejected value travels together with the valid one that stays in effect, since the service has only the newest value. Quarantine, leaving and incarnation rows spread through GossipTable, whose messages do not grow with the fleet.

--- /dev/null
+++ b/state/view_store.cpp
@@ -0,0 +1,228 @@
+#include "state/view_store.h"
+
+#include <algorithm>
+
+namespace persimmon::state {
+
+namespace {
+
+std::chrono::milliseconds timeLeft(ViewStore::TimePoint expiresAt, ViewStore::TimePoint now)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(expiresAt - now);
+}
+
+} // namespace
+
+ViewStore::ViewStore(std::string host) : host_(std::move(host)) {}
+
+ViewUpdate ViewStore::finish(ViewUpdate update)
+{
+    if (update.changed)
+        view_.reset();
+    return update;
+}
+
+ViewUpdate ViewStore::applyConfig(const protocol::ConfigReply &reply, TimePoint now)
+{
+    ViewUpdate update;
+    update.changes = config_.merge(reply.entries, "service");
+    update.changed = !update.changes.empty() || reply.revision > config_.revision();
+    if (reply.revision >= config_.revision())
+        configConfirmedAt_ = now;
+    config_.noteRevision(reply.revision);
+    return finish(std::move(update));
+}
+
+ViewUpdate ViewStore::applyHosts(const protocol::HostsReply &reply, TimePoint now)
+{
+    if (reply.revision >= hostsRevision_)
+        hostsConfirmedAt_ = now;
+    return finish({mergeHosts(reply.revision, reply.hosts), {}});
+}
+
+bool ViewStore::mergeHosts(std::uint64_t revision,
+                           const std::optional<std::vector<protocol::HostRecord>> &hosts)
+{
+    if (revision <= hostsRevision_ || !hosts)
+        return false;
+    hostsRevision_ = revision;
+    hosts_ = *hosts;
+    return true;
+}
+
+template <typename Message>
+void ViewStore::writeRows(Message &message, TimePoint now, bool all)
+{
+    // Rows about to expire are left out, so that no host learns them anew after their expiry.
+    for (const auto &row : quarantine_.select(now, all)) {
+        if (row.expiresAt - now > ExpiryTolerance)
+            message.quarantine.push_back({row.fingerprint, timeLeft(row.expiresAt, now)});
+    }
+    for (const auto &row : leaving_.select(now, all)) {
+        if (row.expiresAt - now > ExpiryTolerance)
+            message.leaving.push_back({row.host, row.incarnation, timeLeft(row.expiresAt, now)});
+    }
+    message.incarnations = incarnations_.select(now, all);
+}
+
+template <typename Message>
+ViewUpdate ViewStore::mergeRows(const Message &message, TimePoint now)
+{
+    ViewUpdate update;
+    for (const auto &row : message.quarantine)
+        update.changed |= addQuarantine(row.fingerprint, row.expiresIn, now).changed;
+    for (const auto &row : message.leaving)
+        update.changed |= addLeaving(row.host, row.incarnation, row.expiresIn, now).changed;
+    for (const auto &row : message.incarnations)
+        update.changed |= addIncarnation(row, now).changed;
+    return update;
+}
+
+protocol::ViewRequest ViewStore::makeRequest(TimePoint now)
+{
+    protocol::ViewRequest request;
+    request.host = host_;
+    request.configRevision = config_.revision();
+    request.configDigest = config_.digest();
+    request.hostsRevision = hostsRevision_;
+    request.wantAll =
+            digestsDiffer_ && (!lastFullRequest_ || now - *lastFullRequest_ >= FullRequestInterval);
+    if (request.wantAll)
+        lastFullRequest_ = now;
+    writeRows(request, now, false);
+    return request;
+}
+
+ViewUpdate ViewStore::applyReply(const protocol::ViewReply &reply, TimePoint sentAt, TimePoint now)
+{
+    const bool isCurrent = reply.configRevision >= config_.revision()
+                           && reply.hostsRevision >= hostsRevision_ && reply.ready;
+    auto update = mergeRows(reply, now);
+    update.changes = config_.merge(reply.entries, reply.host);
+    update.changed |= !update.changes.empty() || reply.configRevision > config_.revision();
+    config_.noteRevision(reply.configRevision);
+    update.changed |= mergeHosts(reply.hostsRevision, reply.hosts);
+    digestsDiffer_ =
+            reply.configRevision == config_.revision() && reply.configDigest != config_.digest();
+    if (isCurrent && reply.confirmedAge < std::chrono::hours(1)) {
+        const auto confirmedAt = sentAt - reply.confirmedAge;
+        configConfirmedAt_ = std::max(configConfirmedAt_.value_or(confirmedAt), confirmedAt);
+        hostsConfirmedAt_ = std::max(hostsConfirmedAt_.value_or(confirmedAt), confirmedAt);
+    }
+    return finish(std::move(update));
+}
+
+ViewUpdate ViewStore::applyRequest(const protocol::ViewRequest &request, TimePoint now)
+{
+    return finish(mergeRows(request, now));
+}
+
+protocol::ViewReply ViewStore::makeReply(const protocol::ViewRequest &request, TimePoint now)
+{
+    protocol::ViewReply reply;
+    reply.host = host_;
+    reply.configRevision = config_.revision();
+    reply.configDigest = config_.digest();
+    if (request.wantAll || request.configDigest != config_.digest())
+        reply.entries = config_.entriesSince(request.wantAll ? 0 : request.configRevision);
+    reply.hostsRevision = hostsRevision_;
+    if (hostsRevision_ > request.hostsRevision)
+        reply.hosts = hosts_;
+    writeRows(reply, now, request.hostsRevision == 0);
+    std::erase_if(reply.incarnations, [&](const auto &row) {
+        return std::find(request.incarnations.begin(), request.incarnations.end(), row)
+               != request.incarnations.end();
+    });
+    reply.confirmedAge = std::chrono::duration_cast<std::chrono::milliseconds>(confirmedAge(now));
+    reply.ready = ready_;
+    return reply;
+}
+
+ViewUpdate ViewStore::addQuarantine(std::uint64_t fingerprint, Duration duration, TimePoint now)
+{
+    const auto expiresAt = now + duration;
+    const auto *known = quarantine_.find(fingerprint);
+    if (known != nullptr && expiresAt <= known->expiresAt + ExpiryTolerance)
+        return {};
+    const bool isNew = known == nullptr;
+    quarantine_.put(fingerprint, {fingerprint, expiresAt}, now);
+    return finish({isNew, {}});
+}
+
+ViewUpdate ViewStore::addLeaving(const std::string &host, std::uint64_t incarnation,
+                                 Duration duration, TimePoint now)
+{
+    const auto expiresAt = now + duration;
+    if (const auto *known = leaving_.find(host)) {
+        const bool isSame = known->incarnation == incarnation;
+        const Duration tolerance = isSame ? Duration(ExpiryTolerance) : Duration::zero();
+        if (expiresAt <= known->expiresAt + tolerance)
+            return {};
+    }
+    leaving_.put(host, {host, incarnation, expiresAt}, now);
+    return finish({true, {}});
+}
+
+ViewUpdate ViewStore::addIncarnation(const protocol::EntryIncarnation &row, TimePoint now)
+{
+    if (row.version <= incarnationVersion(row.host))
+        return {};
+    incarnations_.put(row.host, row, now);
+    return finish({true, {}});
+}
+
+std::uint64_t ViewStore::incarnationVersion(const std::string &host) const
+{
+    const auto *row = incarnations_.find(host);
+    return row == nullptr ? 0 : row->version;
+}
+
+ViewUpdate ViewStore::expire(TimePoint now)
+{
+    const auto isExpired = [now](const auto &row) { return row.expiresAt <= now; };
+    const bool quarantineChanged = quarantine_.eraseIf(isExpired);
+    const bool leavingChanged = leaving_.eraseIf(isExpired);
+    return finish({quarantineChanged || leavingChanged, {}});
+}
+
+ViewStore::Duration ViewStore::confirmedAge(TimePoint now) const
+{
+    if (!isComplete())
+        return Duration::max();
+    return now - std::min(*configConfirmedAt_, *hostsConfirmedAt_);
+}
+
+void ViewStore::fillHosts(ClusterView &view) const
+{
+    for (const auto &host : hosts_) {
+        if (host.kind == protocol::HostKind::Entry)
+            view.entryHosts[host.name] = host;
+        else
+            view.upstreams[host.service].push_back(host);
+    }
+    for (auto &[service, upstreams] : view.upstreams) {
+        std::sort(upstreams.begin(), upstreams.end(),
+                  [](const auto &left, const auto &right) { return left.name < right.name; });
+    }
+}
+
+std::shared_ptr<const ClusterView> ViewStore::view()
+{
+    if (view_)
+        return view_;
+    const auto view = std::make_shared<ClusterView>();
+    config_.fill(*view);
+    fillHosts(*view);
+    quarantine_.forEach([&](const auto &row) { view->quarantined.insert(row.fingerprint); });
+    incarnations_.forEach([&](const auto &row) { view->incarnations[row.host] = row; });
+    leaving_.forEach([&](const auto &row) {
+        // A restarted entry has another incarnation and is no longer leaving.
+        const auto known = view->incarnations.find(row.host);
+        if (known == view->incarnations.end() || known->second.incarnation == row.incarnation)
+            view->leavingHosts.insert(row.host);
+    });
+    view_ = view;
+    return view_;
+}
+
+} // namespace persimmon::state
--- a/tests/state/test_ownership.cpp
+++ b/tests/state/test_ownership.cpp
@@ -58,7 +58,8 @@
         auto smaller = view;
         const auto removed = "h" + std::to_string(*rc::gen::inRange(0, 13));
         smaller.entryHosts.erase(removed);
-        for (const auto &[service, upstreams] : view.upstreams) {
+        for (const auto &row : view.upstreams) {
+            const auto &service = row.first;
             auto before = rankDispatchers(view, service);
             for (const auto &name : before)
                 RC_ASSERT(view.isAvailable(view.entryHosts.at(name)));
@@ -67,7 +68,7 @@
                     [&](const auto &entry) { return view.isAvailable(entry.second); });
             RC_ASSERT(std::ssize(before) == available);
             const auto isNear = [&](const auto &name) {
-                return view.entryHosts.at(name).failureDomain == upstreams[0].failureDomain;
+                return view.entryHosts.at(name).failureDomain == row.second[0].failureDomain;
             };
             RC_ASSERT(std::is_partitioned(before.begin(), before.end(), isNear));
             std::erase(before, removed);
--- /dev/null
+++ b/tests/state/test_view_store.cpp
@@ -0,0 +1,179 @@
+#include "state/state.h"
+
+#include <doctest/doctest.h>
+
+#include <array>
+#include <random>
+
+using namespace persimmon;
+using namespace persimmon::state;
+using namespace std::chrono_literals;
+
+namespace {
+
+const ViewStore::TimePoint Start{1h};
+
+protocol::ConfigEntry outDomains(std::uint64_t revision, const std::string &value)
+{
+    return {"out/domains", revision, value};
+}
+
+/// A configuration service whose answers may come from a stale replica.
+class History
+{
+public:
+    void append(std::mt19937_64 &random)
+    {
+        static const std::array<std::optional<std::string>, 5> Values{
+                R"(["a"])", R"(["a","b"])", R"([])", std::nullopt, R"({"invalid":1})"};
+        const auto *key = random() % 2 == 0 ? "out/domains" : "out/hosts";
+        entries_.push_back({key, entries_.size() + 1, Values[random() % Values.size()]});
+    }
+
+    protocol::ConfigReply read(std::uint64_t since, std::uint64_t revision) const
+    {
+        std::map<std::string, protocol::ConfigEntry> newest;
+        for (std::uint64_t i = 0; i < revision; ++i)
+            newest[entries_[i].key] = entries_[i];
+        protocol::ConfigReply reply{revision, {}};
+        for (const auto &[key, entry] : newest) {
+            if (entry.revision > since)
+                reply.entries.push_back(entry);
+        }
+        return reply;
+    }
+
+    std::uint64_t revision() const { return entries_.size(); }
+
+private:
+    std::vector<protocol::ConfigEntry> entries_;
+};
+
+void exchange(ViewStore &asker, ViewStore &answerer, ViewStore::TimePoint now)
+{
+    const auto request = asker.makeRequest(now);
+    answerer.applyRequest(request, now);
+    asker.applyReply(answerer.makeReply(request, now), now, now);
+}
+
+std::map<std::string, std::uint64_t> revisionsInEffect(const ViewStore &store)
+{
+    std::map<std::string, std::uint64_t> revisions;
+    for (const auto &entry : store.config().entriesInEffect())
+        revisions[entry.key] = entry.revision;
+    return revisions;
+}
+
+/// Runs one random schedule of edits, reads (some stale) and exchanges.
+void runSchedule(std::uint64_t seed)
+{
+    CAPTURE(seed);
+    std::mt19937_64 random(seed);
+    History history;
+    std::vector<ViewStore> stores;
+    for (int i = 0; i < 4; ++i)
+        stores.emplace_back("h" + std::to_string(i));
+    auto now = Start;
+    const auto pick = [&]() -> ViewStore & { return stores[random() % stores.size()]; };
+    for (int step = 0; step < 60; ++step, now += 200ms) {
+        auto &store = pick();
+        const auto before = revisionsInEffect(store);
+        const auto action = random() % 4;
+        if (action == 0)
+            history.append(random);
+        else if (action == 1)
+            store.applyConfig(
+                    history.read(store.config().revision(), random() % (history.revision() + 1)),
+                    now);
+        else
+            exchange(store, pick(), now);
+        for (const auto &[key, revision] : revisionsInEffect(store))
+            REQUIRE((!before.contains(key) || before.at(key) <= revision));
+    }
+    for (auto &store : stores)
+        store.applyConfig(history.read(store.config().revision(), history.revision()), now);
+    for (auto &asker : stores) {
+        for (auto &answerer : stores)
+            exchange(asker, answerer, now);
+    }
+    for (auto &store : stores) {
+        REQUIRE(store.config().revision() == history.revision());
+        REQUIRE(store.config().digest() == stores[0].config().digest());
+        REQUIRE(store.view()->outDomains == stores[0].view()->outDomains);
+        REQUIRE(store.view()->outHosts == stores[0].view()->outHosts);
+    }
+}
+
+} // namespace
+
+// Guards against merges that depend on the order of exchanges, and against values that revert.
+TEST_CASE("stores converge and no value reverts in any schedule of edits, reads and exchanges")
+{
+    for (std::uint64_t seed = 1; seed <= 2000; ++seed)
+        runSchedule(seed);
+    MESSAGE("seeds 1 to 2000");
+}
+
+// Guards against an invalid edit that disables the key, and against one that is lost for a host
+// that starts after it, when the service no longer has the valid value.
+TEST_CASE("an invalid value is audited and the last valid value stays in effect")
+{
+    ViewStore store("h1");
+    store.applyConfig({1, {outDomains(1, R"(["a"])")}}, Start);
+    const auto update = store.applyConfig({2, {outDomains(2, R"({"b":1})")}}, Start);
+    REQUIRE(update.changes.size() == 1);
+    CHECK(update.changes[0].fault);
+    CHECK(update.changes[0].revisionBefore == 1);
+    CHECK(store.view()->outDomains.contains("a"));
+
+    ViewStore late("h2");
+    late.applyConfig({2, {outDomains(2, R"({"b":1})")}}, Start);
+    exchange(late, store, Start);
+    exchange(late, store, Start);
+    CHECK(late.view()->outDomains.contains("a"));
+
+    CHECK_FALSE(store.applyConfig({3, {outDomains(3, R"(["c"])")}}, Start).changes[0].fault);
+    CHECK(store.view()->outDomains == std::set<std::string, std::less<>>{"c"});
+}
+
+// Guards against a stale replica of the service that reverts or confirms a newer view.
+TEST_CASE("stale answers change nothing and confirm nothing")
+{
+    ViewStore store("h1");
+    protocol::HostRecord host{"h1", protocol::HostKind::Entry, "127.0.1.1", "a", "", {}};
+    store.applyConfig({5, {outDomains(5, R"(["a"])")}}, Start);
+    store.applyHosts({7, std::vector{host}}, Start);
+    CHECK_FALSE(store.applyConfig({4, {outDomains(4, R"([])")}}, Start + 10s).changed);
+    CHECK_FALSE(store.applyHosts({6, std::vector<protocol::HostRecord>{}}, Start + 10s).changed);
+    CHECK(store.view()->entryHosts.size() == 1);
+    CHECK(store.view()->outDomains.contains("a"));
+    CHECK(store.confirmedAge(Start + 10s) == 10s);
+}
+
+// Guards against rows that outlive their expiry because each exchange restarts it, and against a
+// restarted entry that stays marked as leaving.
+TEST_CASE("quarantine and leaving rows spread, expire everywhere and end with the incarnation")
+{
+    ViewStore first("h1");
+    ViewStore second("h2");
+    first.addQuarantine(77, 20s, Start);
+    first.addLeaving("h1", 5, 20s, Start);
+    first.addIncarnation({"h1", 5, 1, 1}, Start);
+    exchange(second, first, Start);
+    CHECK(second.view()->quarantined.contains(77));
+    CHECK(second.view()->leavingHosts.contains("h1"));
+    first.addIncarnation({"h1", 6, 1, 2}, Start);
+    exchange(first, second, Start);
+    CHECK_FALSE(second.view()->leavingHosts.contains("h1"));
+    CHECK_FALSE(second.addIncarnation({"h1", 5, 1, 1}, Start).changed);
+    for (auto now = Start; now < Start + 22s; now += 100ms) {
+        // Each message takes 50 ms.
+        const auto request = second.makeRequest(now);
+        first.applyRequest(request, now + 50ms);
+        second.applyReply(first.makeReply(request, now + 50ms), now, now + 100ms);
+        first.expire(now + 100ms);
+        second.expire(now + 100ms);
+    }
+    CHECK(first.view()->quarantined.empty());
+    CHECK(second.view()->quarantined.empty());
+}
