--- a/transport/http_connection.cpp
+++ b/transport/http_connection.cpp
@@ -6,6 +6,10 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <sys/socket.h>
+
+#include <cerrno>
+
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
@@ -90,6 +94,13 @@
     asio::post(stream_.get_executor(), [self = shared_from_this()] { self->closeNow(); });
 }
 
+bool HttpConnection::isPeerClosed()
+{
+    char byte = 0;
+    const auto count = ::recv(stream_.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return count >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 void HttpConnection::closeNow()
 {
     open_ = false;
--- a/transport/http_connection.h
+++ b/transport/http_connection.h
@@ -32,6 +32,10 @@
     /// @return whether the connection was opened and not closed since.
     bool isOpen() const { return open_; }
 
+    /// Looks for an end of stream or unexpected bytes without a read; only while no send() runs.
+    /// @return whether an idle connection can no longer carry a request.
+    bool isPeerClosed();
+
     boost::asio::any_io_executor executor() { return stream_.get_executor(); }
 
 private:
