Add the scheduling logic of a service

Cause: the dispatcher needs decisions on replica, queue, hedge, retry and ramp that can be tested without I/O.

--- a/dispatch/upstream_pool.h
+++ b/dispatch/upstream_pool.h
@@ -5,11 +5,11 @@
 #include "protocol/protocol.h"
 #include "transport/transport.h"
 
-#include <compare>
 #include <map>
 #include <memory>
 #include <mutex>
 #include <string>
+#include <tuple>
 
 namespace persimmon::dispatch {
 
@@ -53,7 +53,11 @@
         std::uint64_t attempt = 0;
         std::string shard;
 
-        auto operator<=>(const RunKey &) const = default;
+        bool operator<(const RunKey &other) const
+        {
+            return std::tie(address, requestId, attempt, shard)
+                   < std::tie(other.address, other.requestId, other.attempt, other.shard);
+        }
     };
 
     std::shared_ptr<UpstreamConnections> connectionsOf(const std::string &address);
--- /dev/null
+++ b/state/crash_tracker.cpp
@@ -0,0 +1,21 @@
+#include "state/crash_tracker.h"
+
+namespace persimmon::state {
+
+bool CrashTracker::onLoss(std::uint64_t fingerprint, TimePoint now)
+{
+    std::erase_if(losses_,
+                  [now](const auto &row) { return now - row.second.last >= QuarantineTime; });
+    auto &losses = losses_[fingerprint];
+    losses.last = now;
+    return ++losses.count == LossLimit;
+}
+
+bool CrashTracker::isQuarantined(std::uint64_t fingerprint, TimePoint now) const
+{
+    const auto found = losses_.find(fingerprint);
+    return found != losses_.end() && found->second.count >= LossLimit
+           && now - found->second.last < QuarantineTime;
+}
+
+} // namespace persimmon::state
--- /dev/null
+++ b/state/extra_load_budget.cpp
@@ -0,0 +1,20 @@
+#include "state/extra_load_budget.h"
+
+#include <algorithm>
+
+namespace persimmon::state {
+
+void ExtraLoadBudget::addPrimary(double extraLoad)
+{
+    tokens_ = std::min(Capacity, tokens_ + extraLoad);
+}
+
+bool ExtraLoadBudget::tryTake()
+{
+    if (tokens_ < 1)
+        return false;
+    tokens_ -= 1;
+    return true;
+}
+
+} // namespace persimmon::state
--- /dev/null
+++ b/state/extra_load_budget.h
@@ -0,0 +1,26 @@
+#pragma once
+
+namespace persimmon::state {
+
+/// Token bucket that pays for hedges and retries of one service.
+class ExtraLoadBudget
+{
+public:
+    /// Most tokens that the bucket holds.
+    static constexpr double Capacity = 10;
+    /// A new bucket pays for one extra execution, so that the first failure can be retried.
+    static constexpr double InitialTokens = 1;
+
+    /// Adds the tokens of one primary execution.
+    void addPrimary(double extraLoad);
+
+    /// @return whether a token for one extra execution was there and has been taken.
+    bool tryTake();
+
+    double tokens() const { return tokens_; }
+
+private:
+    double tokens_ = InitialTokens;
+};
+
+} // namespace persimmon::state
--- /dev/null
+++ b/state/service_scheduler.cpp
@@ -0,0 +1,380 @@
+#include "state/service_scheduler.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace persimmon::state {
+
+namespace {
+
+/// Execution time that is assumed before enough answers were observed.
+constexpr std::chrono::milliseconds AssumedExecutionTime{5};
+/// Delay of a hedge before enough answers were observed.
+constexpr std::chrono::milliseconds AssumedHedgeDelay{50};
+constexpr std::chrono::milliseconds LeastHedgeDelay{5};
+/// An attempt without an answer after this many hedge delays is given up once it is hedged.
+constexpr int SilenceFactor = 4;
+/// Bound of the queue when the observed execution time is tiny.
+constexpr double LargestQueue = 10'000;
+
+} // namespace
+
+SchedulerActions ServiceScheduler::onView(const ServiceSettings &settings, TimePoint now)
+{
+    SchedulerActions actions;
+    hedging_ = settings.hedging;
+    replicas_.configure(settings);
+    refuseUnservable(actions, now);
+    return finish(std::move(actions), now);
+}
+
+SchedulerActions ServiceScheduler::onArrival(const SubWork &work, TimePoint now)
+{
+    SchedulerActions actions;
+    auto &sub = subs_[work.id];
+    sub.work = work;
+    setDue(sub, work.deadline);
+    if (now >= work.deadline)
+        reply(actions, sub, protocol::SubError::DeadlineOver);
+    refuseUnservable(actions, now, work.id);
+    if (!sub.replied) {
+        const auto refused = queue_.push(work.id, work.priority, queueCapacity(work, now));
+        if (refused)
+            reply(actions, subs_.at(*refused), protocol::SubError::Overloaded);
+        if (refused && *refused != work.id)
+            removeIfDone(*refused);
+    }
+    removeIfDone(work.id);
+    return finish(std::move(actions), now);
+}
+
+SchedulerActions ServiceScheduler::onAttemptEnded(std::uint64_t id, std::uint32_t attempt,
+                                                  AttemptResult result, TimePoint now)
+{
+    SchedulerActions actions;
+    const auto found = subs_.find(id);
+    if (found == subs_.end())
+        return actions;
+    auto &sub = found->second;
+    const auto running = std::find_if(sub.attempts.begin(), sub.attempts.end(),
+                                      [attempt](const auto &row) { return row.number == attempt; });
+    if (running == sub.attempts.end())
+        return actions;
+    const auto ended = *running;
+    sub.attempts.erase(running);
+    const auto latency = now - ended.startedAt;
+    replicas_.onEnded(ended.upstream.name, result, sub.work.snapshot, latency, now);
+    if (result.end == AttemptEnd::Answered)
+        latency_.record(latency);
+    if (result.end == AttemptEnd::Lost && !ended.cancelled)
+        actions.emplace_back(NoteLoss{sub.work.fingerprint});
+    if (!sub.replied)
+        applyEnd(actions, sub, ended, result, now);
+    if (result.end == AttemptEnd::SnapshotMissing)
+        refuseUnservable(actions, now);
+    removeIfDone(id);
+    return finish(std::move(actions), now);
+}
+
+void ServiceScheduler::applyEnd(SchedulerActions &actions, Sub &sub, const Attempt &ended,
+                                AttemptResult &result, TimePoint now)
+{
+    bool executed = false;
+    switch (result.end) {
+    case AttemptEnd::Answered:
+        onAnswered(actions, sub, ended, result);
+        return;
+    case AttemptEnd::BadRequest:
+        cancelAttempts(actions, sub);
+        reply(actions, sub, protocol::SubError::Malformed);
+        return;
+    case AttemptEnd::SnapshotMissing:
+        sub.lastError = protocol::SubError::SnapshotMissing;
+        break;
+    case AttemptEnd::Shed:
+        sub.lastError = protocol::SubError::Overloaded;
+        break;
+    case AttemptEnd::Draining:
+    case AttemptEnd::NotWritten:
+        sub.lastError = protocol::SubError::NoUpstream;
+        break;
+    case AttemptEnd::TimedOut:
+    case AttemptEnd::Cancelled:
+        sub.lastError = protocol::SubError::DeadlineExceeded;
+        executed = result.written;
+        break;
+    case AttemptEnd::Lost:
+    case AttemptEnd::Dropped:
+        sub.lastError = protocol::SubError::ConnectionLost;
+        executed = true;
+        break;
+    }
+    sub.mayHaveExecuted = sub.mayHaveExecuted || executed;
+    retryOrReply(actions, sub, executed, now);
+}
+
+void ServiceScheduler::onAnswered(SchedulerActions &actions, Sub &sub, const Attempt &attempt,
+                                  AttemptResult &result)
+{
+    cancelAttempts(actions, sub);
+    SubReply message;
+    message.outcome = protocol::SubOutcome::Done;
+    message.items = std::move(result.items);
+    message.upstream = attempt.upstream.name;
+    if (sub.work.canary)
+        gate_.leave(sub.work.fingerprint, sub.work.id, true);
+    send(actions, sub, std::move(message));
+}
+
+void ServiceScheduler::retryOrReply(SchedulerActions &actions, Sub &sub, bool executed,
+                                    TimePoint now)
+{
+    if (!sub.attempts.empty())
+        return;
+    bool retry = now < sub.work.deadline;
+    if (executed)
+        retry = retry && sub.work.repeatable && budget_.tryTake();
+    else
+        retry = retry && ++sub.refusals <= RefusalLimit;
+    if (!retry) {
+        reply(actions, sub, sub.lastError);
+        return;
+    }
+    sub.waiting = true;
+    sub.nextKind = AttemptKind::Retry;
+    queue_.pushFront(sub.work.id, sub.work.priority);
+    setDue(sub, sub.work.deadline);
+    refuseUnservable(actions, now, sub.work.id);
+}
+
+SchedulerActions ServiceScheduler::onTimer(TimePoint now)
+{
+    SchedulerActions actions;
+    timerAt_.reset();
+    while (!dues_.empty() && dues_.begin()->at <= now) {
+        const auto id = dues_.begin()->id;
+        dues_.erase(dues_.begin());
+        onDue(actions, subs_.at(id), now);
+        removeIfDone(id);
+    }
+    return finish(std::move(actions), now);
+}
+
+void ServiceScheduler::onDue(SchedulerActions &actions, Sub &sub, TimePoint now)
+{
+    const bool late = !sub.waiting && !sub.work.repeatable;
+    const auto end = sub.work.deadline + (late ? Duration(LateAnswerTime) : Duration(0));
+    if (now >= end) {
+        cancelAttempts(actions, sub);
+        reply(actions, sub, protocol::SubError::DeadlineOver);
+        return;
+    }
+    if (sub.waiting || late) {
+        setDue(sub, end);
+        return;
+    }
+    if (sub.attempts.size() == 1 && !sub.hedged)
+        tryHedge(actions, sub, now);
+    else if (sub.attempts.size() > 1)
+        endSilent(actions, sub, now);
+    setDue(sub, std::min(end, now + hedgeDelay()));
+}
+
+void ServiceScheduler::tryHedge(SchedulerActions &actions, Sub &sub, TimePoint now)
+{
+    // Waiting work is needed work, so that it goes before extra work. A hedge of a canary would
+    // be a second unproven execution.
+    if (!hedging_ || sub.work.canary || queue_.size() > 0)
+        return;
+    const auto choice =
+            replicas_.choose(sub.work.snapshot, {sub.attempts.front().upstream.name}, now);
+    if (choice.availability != ReplicaSet::Availability::Found || !budget_.tryTake())
+        return;
+    sub.hedged = true;
+    start(actions, sub, choice.upstream, AttemptKind::Hedge, now);
+}
+
+void ServiceScheduler::endSilent(SchedulerActions &actions, Sub &sub, TimePoint now)
+{
+    auto &oldest = sub.attempts.front();
+    if (oldest.cancelled || now - oldest.startedAt < hedgeDelay() * SilenceFactor)
+        return;
+    oldest.cancelled = true;
+    actions.emplace_back(CancelAttempt{sub.work.id, oldest.number, oldest.upstream});
+}
+
+SchedulerActions ServiceScheduler::onCancel(std::uint64_t id, TimePoint now)
+{
+    SchedulerActions actions;
+    const auto found = subs_.find(id);
+    if (found == subs_.end() || found->second.replied)
+        return actions;
+    auto &sub = found->second;
+    if (!sub.waiting && !sub.work.repeatable)
+        return actions;
+    cancelAttempts(actions, sub);
+    reply(actions, sub, protocol::SubError::None);
+    removeIfDone(id);
+    return finish(std::move(actions), now);
+}
+
+SchedulerActions ServiceScheduler::onQuarantine(std::uint64_t fingerprint, TimePoint now)
+{
+    SchedulerActions actions;
+    refuseWaiting(actions, [fingerprint](const Sub &sub) {
+        return sub.work.fingerprint == fingerprint ? protocol::SubError::Quarantined
+                                                   : protocol::SubError::None;
+    });
+    return finish(std::move(actions), now);
+}
+
+SchedulerActions ServiceScheduler::finish(SchedulerActions actions, TimePoint now)
+{
+    grant(actions, now);
+    if (!dues_.empty() && (!timerAt_ || dues_.begin()->at < *timerAt_)) {
+        timerAt_ = dues_.begin()->at;
+        actions.emplace_back(ScheduleTimer{*timerAt_});
+    }
+    return actions;
+}
+
+void ServiceScheduler::grant(SchedulerActions &actions, TimePoint now)
+{
+    const auto isReady = [this, now](std::uint64_t id) {
+        const auto &work = subs_.at(id).work;
+        if (work.canary && !gate_.isOpenFor(work.fingerprint, id))
+            return false;
+        return replicas_.choose(work.snapshot, {}, now).availability
+               == ReplicaSet::Availability::Found;
+    };
+    while (queue_.size() > 0 && replicas_.hasCapacity()) {
+        const auto id = queue_.pop(isReady);
+        if (!id)
+            return;
+        auto &sub = subs_.at(*id);
+        sub.waiting = false;
+        if (sub.work.canary)
+            gate_.enter(sub.work.fingerprint, *id);
+        const auto choice = replicas_.choose(sub.work.snapshot, {}, now);
+        start(actions, sub, choice.upstream, sub.nextKind, now);
+        setDue(sub, sub.work.repeatable ? std::min(sub.work.deadline, now + hedgeDelay())
+                                        : sub.work.deadline + LateAnswerTime);
+    }
+}
+
+void ServiceScheduler::start(SchedulerActions &actions, Sub &sub,
+                             const protocol::HostRecord &upstream, AttemptKind kind, TimePoint now)
+{
+    if (sub.executions++ == 0)
+        budget_.addPrimary(sub.work.extraLoad);
+    replicas_.onStarted(upstream.name);
+    sub.attempts.push_back({sub.executions, upstream, now});
+    const auto extra = sub.work.repeatable ? Duration(0) : Duration(LateAnswerTime);
+    actions.emplace_back(
+            StartAttempt{sub.work.id, sub.executions, kind, upstream, sub.work.deadline + extra});
+}
+
+void ServiceScheduler::refuseUnservable(SchedulerActions &actions, TimePoint now,
+                                        std::optional<std::uint64_t> only)
+{
+    refuseWaiting(
+            actions,
+            [this, now](const Sub &sub) {
+                switch (replicas_.choose(sub.work.snapshot, {}, now).availability) {
+                case ReplicaSet::Availability::SnapshotMissing:
+                    return protocol::SubError::SnapshotMissing;
+                case ReplicaSet::Availability::NoUpstream:
+                    return protocol::SubError::NoUpstream;
+                default:
+                    return protocol::SubError::None;
+                }
+            },
+            only);
+}
+
+void ServiceScheduler::refuseWaiting(SchedulerActions &actions,
+                                     const std::function<protocol::SubError(const Sub &)> &reason,
+                                     std::optional<std::uint64_t> only)
+{
+    auto row = only ? subs_.find(*only) : subs_.begin();
+    while (row != subs_.end()) {
+        auto &sub = row->second;
+        // The caller removes the one that it names, since it still holds a reference to it.
+        ++row;
+        const auto error = sub.waiting ? reason(sub) : protocol::SubError::None;
+        if (error != protocol::SubError::None) {
+            reply(actions, sub, error);
+            if (!only)
+                removeIfDone(sub.work.id);
+        }
+        if (only)
+            return;
+    }
+}
+
+void ServiceScheduler::cancelAttempts(SchedulerActions &actions, Sub &sub)
+{
+    for (auto &attempt : sub.attempts) {
+        if (std::exchange(attempt.cancelled, true))
+            continue;
+        actions.emplace_back(CancelAttempt{sub.work.id, attempt.number, attempt.upstream});
+    }
+}
+
+void ServiceScheduler::reply(SchedulerActions &actions, Sub &sub, protocol::SubError error)
+{
+    SubReply message;
+    const bool unknown = sub.mayHaveExecuted || !sub.attempts.empty();
+    message.outcome = unknown ? protocol::SubOutcome::Unknown : protocol::SubOutcome::NotRun;
+    message.error = error;
+    if (unknown && error == protocol::SubError::DeadlineOver)
+        message.error = protocol::SubError::DeadlineExceeded;
+    send(actions, sub, std::move(message));
+}
+
+void ServiceScheduler::send(SchedulerActions &actions, Sub &sub, SubReply message)
+{
+    message.id = sub.work.id;
+    message.executions = sub.executions;
+    sub.replied = true;
+    if (std::exchange(sub.waiting, false))
+        queue_.remove(sub.work.id, sub.work.priority);
+    dues_.erase({sub.due, sub.work.id});
+    actions.emplace_back(std::move(message));
+}
+
+void ServiceScheduler::setDue(Sub &sub, TimePoint due)
+{
+    if (sub.replied)
+        return;
+    dues_.erase({sub.due, sub.work.id});
+    sub.due = due;
+    dues_.insert({due, sub.work.id});
+}
+
+void ServiceScheduler::removeIfDone(std::uint64_t id)
+{
+    const auto found = subs_.find(id);
+    if (found == subs_.end() || !found->second.replied || !found->second.attempts.empty())
+        return;
+    const auto &work = found->second.work;
+    if (work.canary)
+        gate_.leave(work.fingerprint, id, false);
+    subs_.erase(found);
+}
+
+std::size_t ServiceScheduler::queueCapacity(const SubWork &work, TimePoint now) const
+{
+    const auto median = latency_.median().value_or(AssumedExecutionTime);
+    const auto rounds = std::chrono::duration<double>(work.deadline - now) / median;
+    const auto capacity = static_cast<double>(replicas_.totalLimit()) * std::max(rounds, 0.0);
+    return static_cast<std::size_t>(std::min(capacity, LargestQueue));
+}
+
+Duration ServiceScheduler::hedgeDelay() const
+{
+    const Duration observed = latency_.percentile95().value_or(AssumedHedgeDelay);
+    return std::max<Duration>(observed, LeastHedgeDelay);
+}
+
+} // namespace persimmon::state
--- /dev/null
+++ b/state/service_scheduler.h
@@ -0,0 +1,122 @@
+#pragma once
+
+#include "state/execution_queue.h"
+#include "state/extra_load_budget.h"
+#include "state/replica_set.h"
+#include "state/scheduler_actions.h"
+#include "state/unproven_gate.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace persimmon::state {
+
+/// Decides for one service which sub-request runs when and where. Each event gives the actions to
+/// execute; every sub-request gets exactly one SubReply. Not thread-safe.
+class ServiceScheduler
+{
+public:
+    /// A non-repeatable attempt that runs at its deadline is kept for this time, since its late
+    /// answer makes the outcome known.
+    static constexpr std::chrono::seconds LateAnswerTime{2};
+    /// A sub-request that was certainly not executed is sent again at most this many times. Such
+    /// retries are free of tokens, since they are no extra executions.
+    static constexpr std::uint32_t RefusalLimit = 4;
+
+    /// Takes what a new view says about the service.
+    SchedulerActions onView(const ServiceSettings &settings, TimePoint now);
+
+    /// Takes a new sub-request.
+    SchedulerActions onArrival(const SubWork &work, TimePoint now);
+
+    /// Takes the end of an attempt. Every StartAttempt must be followed by exactly one.
+    SchedulerActions onAttemptEnded(std::uint64_t id, std::uint32_t attempt, AttemptResult result,
+                                    TimePoint now);
+
+    /// Takes the time asked for by ScheduleTimer; an early call does no harm.
+    SchedulerActions onTimer(TimePoint now);
+
+    /// Ends a sub-request that nobody waits for. A running non-repeatable one goes on.
+    SchedulerActions onCancel(std::uint64_t id, TimePoint now);
+
+    /// Ends the waiting sub-requests of a fingerprint.
+    SchedulerActions onQuarantine(std::uint64_t fingerprint, TimePoint now);
+
+    std::size_t waiting() const { return queue_.size(); }
+    const ReplicaSet &replicas() const { return replicas_; }
+    const ExtraLoadBudget &budget() const { return budget_; }
+
+private:
+    struct Attempt
+    {
+        std::uint32_t number = 0;
+        protocol::HostRecord upstream;
+        TimePoint startedAt;
+        bool cancelled = false;
+    };
+    struct Sub
+    {
+        SubWork work;
+        bool replied = false;
+        bool waiting = true;
+        /// Whether an ended attempt may have executed.
+        bool mayHaveExecuted = false;
+        bool hedged = false;
+        AttemptKind nextKind = AttemptKind::Primary;
+        std::uint32_t executions = 0;
+        std::uint32_t refusals = 0;
+        protocol::SubError lastError = protocol::SubError::None;
+        std::vector<Attempt> attempts;
+        TimePoint due;
+    };
+    struct Due
+    {
+        TimePoint at;
+        std::uint64_t id = 0;
+
+        bool operator<(const Due &other) const
+        {
+            return at != other.at ? at < other.at : id < other.id;
+        }
+    };
+
+    SchedulerActions finish(SchedulerActions actions, TimePoint now);
+    void grant(SchedulerActions &actions, TimePoint now);
+    void refuseUnservable(SchedulerActions &actions, TimePoint now,
+                          std::optional<std::uint64_t> only = {});
+    void refuseWaiting(SchedulerActions &actions,
+                       const std::function<protocol::SubError(const Sub &)> &reason,
+                       std::optional<std::uint64_t> only = {});
+    void start(SchedulerActions &actions, Sub &sub, const protocol::HostRecord &upstream,
+               AttemptKind kind, TimePoint now);
+    void onDue(SchedulerActions &actions, Sub &sub, TimePoint now);
+    void tryHedge(SchedulerActions &actions, Sub &sub, TimePoint now);
+    void onAnswered(SchedulerActions &actions, Sub &sub, const Attempt &attempt,
+                    AttemptResult &result);
+    void applyEnd(SchedulerActions &actions, Sub &sub, const Attempt &ended, AttemptResult &result,
+                  TimePoint now);
+    void retryOrReply(SchedulerActions &actions, Sub &sub, bool executed, TimePoint now);
+    void endSilent(SchedulerActions &actions, Sub &sub, TimePoint now);
+    void cancelAttempts(SchedulerActions &actions, Sub &sub);
+    void reply(SchedulerActions &actions, Sub &sub, protocol::SubError error);
+    void send(SchedulerActions &actions, Sub &sub, SubReply message);
+    void setDue(Sub &sub, TimePoint due);
+    void removeIfDone(std::uint64_t id);
+    std::size_t queueCapacity(const SubWork &work, TimePoint now) const;
+    Duration hedgeDelay() const;
+
+    ReplicaSet replicas_;
+    ExecutionQueue queue_;
+    ExtraLoadBudget budget_;
+    UnprovenGate gate_;
+    LatencyRecord latency_;
+    bool hedging_ = true;
+    std::map<std::uint64_t, Sub> subs_;
+    std::set<Due> dues_;
+    std::optional<TimePoint> timerAt_;
+};
+
+} // namespace persimmon::state
