--- /dev/null
+++ b/state/idempotency_store.cpp
@@ -0,0 +1,109 @@
+#include "state/idempotency_store.h"
+
+#include <iterator>
+#include <utility>
+
+namespace persimmon::state {
+
+using protocol::Outcome;
+using protocol::QueryAnswer;
+
+IdempotencyStore::IdempotencyStore(std::size_t capacity) : capacity_(capacity) {}
+
+IdempotencyStore::Part &IdempotencyStore::partOf(std::string_view unique)
+{
+    return parts_[std::hash<std::string_view>{}(unique) % PartCount];
+}
+
+AdmissionResult IdempotencyStore::begin(std::uint64_t epoch, std::string_view unique,
+                                        std::uint64_t current, Waiter waiter)
+{
+    if (epoch > current)
+        return {Admission::Future, {}};
+    auto &part = partOf(unique);
+    const std::lock_guard lock(part.mutex);
+    // Another thread may have dropped the epoch after the caller read the clock.
+    if (epoch < part.oldest || epoch + PreviousEpochs < current)
+        return {Admission::Expired, {}};
+    return beginLocked(part.epochs[epoch], unique, std::move(waiter));
+}
+
+AdmissionResult IdempotencyStore::beginLocked(EpochRecords &records, std::string_view unique,
+                                              Waiter waiter)
+{
+    const auto found = records.find(std::string(unique));
+    if (found != records.end()) {
+        if (found->second.finished)
+            return {Admission::Replay, found->second.answer};
+        found->second.waiters.push_back(std::move(waiter));
+        return {Admission::Join, {}};
+    }
+    if (size_.fetch_add(1) >= capacity_) {
+        size_.fetch_sub(1);
+        return {Admission::Full, {}};
+    }
+    records.emplace(unique, Record{});
+    return {Admission::Start, {}};
+}
+
+void IdempotencyStore::finish(std::uint64_t epoch, std::string_view unique,
+                              const QueryAnswer &answer)
+{
+    std::vector<Waiter> waiters;
+    {
+        auto &part = partOf(unique);
+        const std::lock_guard lock(part.mutex);
+        const auto records = part.epochs.find(epoch);
+        if (records == part.epochs.end())
+            return;
+        const auto found = records->second.find(std::string(unique));
+        if (found == records->second.end())
+            return;
+        auto &record = found->second;
+        const bool late = record.finished && record.answer.outcome == Outcome::Unknown
+                          && answer.outcome == Outcome::Done;
+        if (record.finished && !late)
+            return;
+        record.finished = true;
+        record.answer = answer;
+        waiters.swap(record.waiters);
+    }
+    for (const auto &waiter : waiters)
+        waiter(answer);
+}
+
+void IdempotencyStore::advance(std::uint64_t current)
+{
+    if (current <= PreviousEpochs)
+        return;
+    std::vector<Waiter> waiters;
+    for (auto &part : parts_) {
+        const std::lock_guard lock(part.mutex);
+        auto dropped = dropLocked(part, current - PreviousEpochs);
+        std::move(dropped.begin(), dropped.end(), std::back_inserter(waiters));
+    }
+    QueryAnswer expired;
+    expired.outcome = Outcome::Unknown;
+    expired.error = protocol::CallerError::EpochExpired;
+    expired.message = "the epoch of the request id has expired";
+    for (const auto &waiter : waiters)
+        waiter(expired);
+}
+
+std::vector<IdempotencyStore::Waiter> IdempotencyStore::dropLocked(Part &part, std::uint64_t oldest)
+{
+    std::vector<Waiter> waiters;
+    if (oldest <= part.oldest)
+        return waiters;
+    part.oldest = oldest;
+    const auto end = part.epochs.lower_bound(oldest);
+    for (auto it = part.epochs.begin(); it != end; ++it) {
+        size_.fetch_sub(it->second.size());
+        for (auto &[unique, record] : it->second)
+            std::move(record.waiters.begin(), record.waiters.end(), std::back_inserter(waiters));
+    }
+    part.epochs.erase(part.epochs.begin(), end);
+    return waiters;
+}
+
+} // namespace persimmon::state
--- /dev/null
+++ b/state/query_planner.cpp
@@ -0,0 +1,91 @@
+#include "state/query_planner.h"
+
+#include "state/ownership.h"
+
+#include <charconv>
+
+namespace persimmon::state {
+
+using protocol::QueryRequest;
+using protocol::SnapshotMap;
+
+namespace {
+
+/// @return the snapshot of @p token, or nothing when it is not a token of @p group.
+std::optional<std::uint64_t> tokenSnapshot(std::string_view token, std::string_view group)
+{
+    const auto colon = token.rfind(':');
+    if (colon == std::string_view::npos || token.substr(0, colon) != group)
+        return std::nullopt;
+    const auto digits = token.substr(colon + 1);
+    std::uint64_t snapshot = 0;
+    const auto *end = digits.data() + digits.size();
+    const auto [stop, error] = std::from_chars(digits.data(), end, snapshot);
+    if (digits.empty() || error != std::errc() || stop != end)
+        return std::nullopt;
+    return snapshot;
+}
+
+const SnapshotMap *newestSnapshot(const protocol::GroupIndex &index, std::uint64_t least,
+                                  const std::set<std::uint64_t> &tried)
+{
+    for (auto it = index.snapshots.rbegin(); it != index.snapshots.rend(); ++it) {
+        if (it->id >= least && !tried.contains(it->id))
+            return &*it;
+    }
+    return nullptr;
+}
+
+bool holdsKey(const protocol::Shard &shard, std::uint32_t position)
+{
+    return shard.from <= position && position < shard.to;
+}
+
+} // namespace
+
+std::map<std::string, std::vector<std::size_t>> QueryPlan::byOwner() const
+{
+    std::map<std::string, std::vector<std::size_t>> owners;
+    for (std::size_t i = 0; i < shards.size(); ++i)
+        owners[shards[i].dispatchers.front()].push_back(i);
+    return owners;
+}
+
+Result<QueryPlan, PlanError> QueryPlanner::plan(const QueryRequest &request,
+                                                const std::set<std::uint64_t> &tried) const
+{
+    const auto profile = view_.profiles.find(request.profile);
+    if (profile == view_.profiles.end())
+        return PlanError{PlanErrorCode::UnknownProfile, "unknown profile " + request.profile};
+    const auto &group = profile->second.group;
+    const auto index = view_.indexes.find(group);
+    if (index == view_.indexes.end())
+        return PlanError{PlanErrorCode::UnknownGroup, "no index for group " + group};
+    std::optional<std::uint64_t> least = 0;
+    if (request.snapshotToken)
+        least = tokenSnapshot(*request.snapshotToken, group);
+    if (!least)
+        return PlanError{PlanErrorCode::SnapshotUnavailable, "not a token of group " + group};
+    const auto *snapshot = newestSnapshot(index->second, *least, tried);
+    if (snapshot == nullptr)
+        return PlanError{PlanErrorCode::SnapshotUnavailable, "no usable snapshot of " + group};
+    QueryPlan plan{profile->second, snapshot->id, view_.configRevision, {}};
+    const bool keyed = plan.profile.scope == protocol::Scope::Key;
+    const auto position = keyed ? protocol::keyPosition(request.key.value_or("")) : 0;
+    for (const auto &shard : snapshot->shards) {
+        if (keyed && !holdsKey(shard, position))
+            continue;
+        auto dispatchers = rankDispatchers(view_, shard.service);
+        if (dispatchers.empty())
+            return PlanError{PlanErrorCode::NoOwner, "no dispatcher for " + shard.service};
+        plan.shards.push_back({shard, std::move(dispatchers)});
+    }
+    return plan;
+}
+
+std::string formatSnapshotToken(std::string_view group, std::uint64_t snapshot)
+{
+    return std::string(group) + ":" + std::to_string(snapshot);
+}
+
+} // namespace persimmon::state
