--- a/state/query_merge.cpp
+++ b/state/query_merge.cpp
@@ -1,5 +1,7 @@
 #include "state/query_merge.h"
 
+#include "state/snapshot_token.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -55,6 +57,8 @@
     auto &state = states_[shard];
     state.sent = true;
     state.settled = false;
+    // An error of an earlier dispatcher says nothing about the one that is asked now.
+    state.error = SubError::None;
     state.openBatches.push_back(batchId);
 }
 
--- a/state/query_planner.cpp
+++ b/state/query_planner.cpp
@@ -1,8 +1,7 @@
 #include "state/query_planner.h"
 
 #include "state/ownership.h"
-
-#include <charconv>
+#include "state/snapshot_token.h"
 
 namespace persimmon::state {
 
@@ -11,21 +10,6 @@
 
 namespace {
 
-/// @return the snapshot of @p token, or nothing when it is not a token of @p group.
-std::optional<std::uint64_t> tokenSnapshot(std::string_view token, std::string_view group)
-{
-    const auto colon = token.rfind(':');
-    if (colon == std::string_view::npos || token.substr(0, colon) != group)
-        return std::nullopt;
-    const auto digits = token.substr(colon + 1);
-    std::uint64_t snapshot = 0;
-    const auto *end = digits.data() + digits.size();
-    const auto [stop, error] = std::from_chars(digits.data(), end, snapshot);
-    if (digits.empty() || error != std::errc() || stop != end)
-        return std::nullopt;
-    return snapshot;
-}
-
 const SnapshotMap *newestSnapshot(const protocol::GroupIndex &index, std::uint64_t least,
                                   const std::set<std::uint64_t> &tried)
 {
@@ -63,7 +47,7 @@
         return PlanError{PlanErrorCode::UnknownGroup, "no index for group " + group};
     std::optional<std::uint64_t> least = 0;
     if (request.snapshotToken)
-        least = tokenSnapshot(*request.snapshotToken, group);
+        least = parseSnapshotToken(*request.snapshotToken, group);
     if (!least)
         return PlanError{PlanErrorCode::SnapshotUnavailable, "not a token of group " + group};
     const auto *snapshot = newestSnapshot(index->second, *least, tried);
@@ -83,9 +67,4 @@
     return plan;
 }
 
-std::string formatSnapshotToken(std::string_view group, std::uint64_t snapshot)
-{
-    return std::string(group) + ":" + std::to_string(snapshot);
-}
-
 } // namespace persimmon::state
--- a/state/query_planner.h
+++ b/state/query_planner.h
@@ -56,7 +56,4 @@
     const ClusterView &view_;
 };
 
-/// @return the token of a snapshot: "<group>:<id>".
-std::string formatSnapshotToken(std::string_view group, std::uint64_t snapshot);
-
 } // namespace persimmon::state
--- /dev/null
+++ b/state/snapshot_token.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace persimmon::state {
+
+/// @return the token of a snapshot: "<group>:<id>".
+std::string formatSnapshotToken(std::string_view group, std::uint64_t snapshot);
+
+/// @return the snapshot of @p token, or nothing when it is not a token of @p group.
+std::optional<std::uint64_t> parseSnapshotToken(std::string_view token, std::string_view group);
+
+} // namespace persimmon::state
--- a/state/state.h
+++ b/state/state.h
@@ -9,3 +9,4 @@
 #include "state/query_merge.h"
 #include "state/query_planner.h"
 #include "state/request_id.h"
+#include "state/snapshot_token.h"
