--- /dev/null
+++ b/entry/entry.h
@@ -0,0 +1,4 @@
+#pragma once
+
+#include "entry/dispatcher_links.h"
+#include "entry/entry_hooks.h"
