Add the stand-in upstreams, configuration service and host list

The tests need outside systems that misbehave on command. One process with one thread serves all upstreams of a deployment, the platform and the control endpoint.

HttpServerOptions gets connectionHandler: one handler per connection is needed for the connection limit, the cost of a connection and silence.

--- /dev/null
+++ b/standin/platform_service.cpp
@@ -0,0 +1,90 @@
+#include "standin/platform_service.h"
+
+#include "protocol/platform_codec.h"
+#include "standin/request_target.h"
+
+#include <algorithm>
+
+namespace asio = boost::asio;
+
+namespace persimmon::standin {
+
+using transport::HttpRequest;
+using transport::HttpResponse;
+
+namespace {
+
+constexpr std::chrono::milliseconds WatchPollInterval{10};
+constexpr std::chrono::milliseconds MaxWatch{60'000};
+
+} // namespace
+
+PlatformService::PlatformService(transport::Runtime &runtime, PlatformStore &store)
+    : runtime_(runtime),
+      store_(store)
+{
+}
+
+transport::TransportResult<transport::Endpoint>
+PlatformService::start(const transport::Endpoint &endpoint)
+{
+    server_ = std::make_unique<transport::HttpServer>(
+            runtime_, [this](HttpRequest request) { return handle(std::move(request)); });
+    return server_->listen(endpoint);
+}
+
+asio::awaitable<HttpResponse> PlatformService::handle(HttpRequest request)
+{
+    const auto path = targetPath(request.target);
+    if (request.method == "GET" && path == "/v1/config")
+        co_return co_await readConfig(request.target);
+    if (request.method == "GET" && path == "/v1/hosts")
+        co_return co_await readHosts(request.target);
+    co_return HttpResponse{404, R"({"error":"not_found"})"};
+}
+
+asio::awaitable<HttpResponse> PlatformService::readConfig(std::string target)
+{
+    countRead();
+    const auto since = targetNumber(target, "since");
+    const std::chrono::milliseconds wait(targetNumber(target, "wait_ms"));
+    const auto end = runtime_.clock().now() + std::min(wait, MaxWatch);
+    if (faults_.delay.count() > 0)
+        co_await runtime_.clock().sleep(faults_.delay);
+    while (true) {
+        if (faults_.down)
+            co_return HttpResponse{503, R"({"error":"unavailable"})"};
+        const auto &source = faults_.stale ? *faults_.stale : store_;
+        if (source.revision() > since || runtime_.clock().now() >= end)
+            co_return HttpResponse{200, protocol::encodeConfigReply(source.changes(since))};
+        co_await runtime_.clock().sleep(WatchPollInterval);
+    }
+}
+
+asio::awaitable<HttpResponse> PlatformService::readHosts(std::string target)
+{
+    countRead();
+    const auto since = targetNumber(target, "since");
+    const std::chrono::milliseconds wait(targetNumber(target, "wait_ms"));
+    const auto end = runtime_.clock().now() + std::min(wait, MaxWatch);
+    while (store_.hostsRevision() <= since && runtime_.clock().now() < end)
+        co_await runtime_.clock().sleep(WatchPollInterval);
+    co_return HttpResponse{200, protocol::encodeHostsReply(store_.hostChanges(since))};
+}
+
+std::size_t PlatformService::recentReads()
+{
+    const auto oldest = runtime_.clock().now() - std::chrono::seconds(1);
+    while (!readTimes_.empty() && readTimes_.front() < oldest)
+        readTimes_.pop_front();
+    return readTimes_.size();
+}
+
+void PlatformService::countRead()
+{
+    ++reads_;
+    readTimes_.push_back(runtime_.clock().now());
+    peakReads_ = std::max(peakReads_, recentReads());
+}
+
+} // namespace persimmon::standin
--- /dev/null
+++ b/standin/standin.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "standin/answer_items.h"
+#include "standin/control_service.h"
+#include "standin/deployment.h"
+#include "standin/execution_log.h"
+#include "standin/fault_commands.h"
+#include "standin/platform_service.h"
+#include "standin/platform_store.h"
+#include "standin/request_target.h"
+#include "standin/slot_model.h"
+#include "standin/stand_in.h"
+#include "standin/standin_error.h"
+#include "standin/upstream.h"
+#include "standin/upstream_faults.h"
--- /dev/null
+++ b/standin/upstream.cpp
@@ -0,0 +1,302 @@
+#include "standin/upstream.h"
+
+#include "protocol/upstream_codec.h"
+#include "standin/answer_items.h"
+#include "transport/log.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json.hpp>
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace persimmon::standin {
+
+using protocol::UpstreamRefusal;
+using transport::HttpRequest;
+using transport::HttpResponse;
+
+namespace {
+
+constexpr auto AwaitTuple = asio::as_tuple(asio::use_awaitable);
+/// Requests that wait at one upstream before it sheds.
+constexpr std::uint32_t QueueLimit = 64;
+constexpr std::chrono::milliseconds SilencePollInterval{100};
+constexpr std::chrono::milliseconds CloseDelay{20};
+
+HttpResponse respond(const protocol::ExecuteReply &reply)
+{
+    return {protocol::executeStatus(reply), protocol::encodeExecuteReply(reply)};
+}
+
+} // namespace
+
+Upstream::Upstream(transport::Runtime &runtime, UpstreamSettings settings, ExecutionLog &log)
+    : runtime_(runtime),
+      settings_(std::move(settings)),
+      log_(log),
+      slots_(settings_.capacity, QueueLimit),
+      random_(XXH64(settings_.name.data(), settings_.name.size(), settings_.seed))
+{
+    log_.counters(settings_.name).failureDomain = settings_.failureDomain;
+}
+
+transport::TransportResult<transport::Endpoint> Upstream::start()
+{
+    transport::HttpServerOptions options;
+    options.connectionHandler = [this] { return acceptConnection(); };
+    server_ = std::make_unique<transport::HttpServer>(runtime_, transport::HttpHandler{},
+                                                      std::move(options));
+    return server_->listen(settings_.endpoint);
+}
+
+void Upstream::crash(std::chrono::milliseconds downtime)
+{
+    if (down_)
+        return;
+    down_ = true;
+    ++life_;
+    ++log_.counters(settings_.name).crashes;
+    slots_.restart();
+    for (const auto &task : tasks_)
+        task->timer.cancel();
+    tasks_.clear();
+    server_->close();
+    runtime_.spawn([](Upstream &self, std::chrono::milliseconds time) -> asio::awaitable<void> {
+        co_await self.runtime_.clock().sleep(time);
+        const auto started = self.start();
+        if (!isOk(started))
+            transport::logError("standin", errorOf(started).message);
+        self.down_ = false;
+    }(*this, downtime));
+}
+
+transport::HttpHandler Upstream::acceptConnection()
+{
+    connections_.remove_if([](const auto &weak) { return weak.expired(); });
+    // A silent connection stays open until its client gives up. It must not use up the limit.
+    const auto answering = std::count_if(connections_.begin(), connections_.end(),
+                                         [](const auto &weak) { return !weak.lock()->silent; });
+    if (answering >= static_cast<std::ptrdiff_t>(settings_.capacity.connections))
+        return {};
+    auto connection = std::make_shared<Connection>();
+    connection->life = life_;
+    connections_.push_back(connection);
+    return [this, connection](HttpRequest request) {
+        return handle(connection, std::move(request));
+    };
+}
+
+void Upstream::silenceOpenConnections()
+{
+    for (const auto &weak : connections_) {
+        if (const auto connection = weak.lock())
+            connection->silent = true;
+    }
+}
+
+Upstream::Response Upstream::handle(std::shared_ptr<Connection> connection, HttpRequest request)
+{
+    if (connection->isNew) {
+        connection->isNew = false;
+        if (settings_.capacity.connectionCost.count() > 0)
+            co_await runtime_.clock().sleep(settings_.capacity.connectionCost);
+    }
+    while ((connection->silent || faults_.silent) && connection->life == life_) {
+        connection->silent = true;
+        co_await runtime_.clock().sleep(SilencePollInterval);
+    }
+    if (connection->life != life_)
+        co_return co_await waitForClose();
+    if (request.method == "POST" && request.target == "/v1/execute")
+        co_return co_await handleExecute(std::move(request));
+    if (request.method == "POST" && request.target == "/v1/cancel")
+        co_return handleCancel(request);
+    if (request.method == "GET" && request.target == "/v1/health")
+        co_return healthResponse();
+    if (request.method == "GET" && request.target == "/v1/load")
+        co_return loadResponse();
+    co_return HttpResponse{404, R"({"error":"not_found"})"};
+}
+
+Upstream::Response Upstream::handleExecute(HttpRequest request)
+{
+    auto decoded = protocol::decodeExecuteRequest(request.body);
+    if (!isOk(decoded))
+        co_return refuse(UpstreamRefusal::BadRequest);
+    log_.counters(settings_.name).lastRequest = runtime_.clock().now();
+    const auto task =
+            std::make_shared<Task>(co_await asio::this_coro::executor, takeValue(decoded));
+    task->life = life_;
+    if (faults_.draining)
+        co_return refuse(UpstreamRefusal::Draining);
+    if (faults_.shed)
+        co_return refuse(UpstreamRefusal::Shed);
+    if (!holds(task->request.snapshot, task->request.shard))
+        co_return refuse(UpstreamRefusal::SnapshotMissing);
+    const auto admission = slots_.admit();
+    if (admission == Admission::Shed)
+        co_return refuse(UpstreamRefusal::Shed);
+    if (admission == Admission::Overload) {
+        ++log_.counters(settings_.name).coldOverloads;
+        crash();
+        co_return co_await waitForClose();
+    }
+    tasks_.push_back(task);
+    if (admission == Admission::Run) {
+        beginTask(*task);
+    } else {
+        slots_.enqueue();
+        task->timer.expires_after(task->request.deadline);
+        co_await task->timer.async_wait(AwaitTuple);
+    }
+    co_return co_await runTask(task);
+}
+
+Upstream::Response Upstream::runTask(TaskPointer task)
+{
+    if (task->life != life_)
+        co_return co_await waitForClose();
+    if (!task->running) {
+        // Cancelled, or its deadline is over, while it waited.
+        slots_.dequeue();
+        tasks_.remove(task);
+        co_return refuse(UpstreamRefusal::Shed);
+    }
+    log_.record(settings_.name, task->request);
+    if (queryOperation(task->request.query) == QueryOperation::Crash) {
+        crash();
+        co_return co_await waitForClose();
+    }
+    task->timer.expires_after(drawServiceTime());
+    if (!task->cancelled)
+        co_await task->timer.async_wait(AwaitTuple);
+    if (task->life != life_)
+        co_return co_await waitForClose();
+    endTask(task, !task->cancelled);
+    if (task->cancelled)
+        co_return HttpResponse{500, R"({"error":"cancelled"})"};
+    co_return respond(protocol::ExecuteAnswer{task->request.requestId, task->request.attempt,
+                                              task->request.shard, task->request.snapshot,
+                                              incarnation(), makeItems(task->request)});
+}
+
+void Upstream::beginTask(Task &task)
+{
+    task.running = true;
+    const bool cold = slots_.isCold();
+    slots_.begin();
+    auto &counters = log_.counters(settings_.name);
+    auto &peak = cold ? counters.peakCold : counters.peakWarm;
+    peak = std::max(peak, slots_.running());
+}
+
+void Upstream::endTask(const TaskPointer &task, bool completed)
+{
+    slots_.finish(completed);
+    tasks_.remove(task);
+    for (const auto &waiting : tasks_) {
+        if (!slots_.hasFreeSlot())
+            return;
+        if (waiting->running || waiting->cancelled)
+            continue;
+        slots_.dequeue();
+        beginTask(*waiting);
+        waiting->timer.cancel();
+    }
+}
+
+HttpResponse Upstream::handleCancel(const HttpRequest &request)
+{
+    const auto cancel = protocol::decodeCancelExecution(request.body);
+    if (!isOk(cancel))
+        return {400, R"({"error":"bad_request"})"};
+    for (const auto &task : tasks_) {
+        if (task->request.requestId != valueOf(cancel).requestId
+            || task->request.attempt != valueOf(cancel).attempt)
+            continue;
+        task->cancelled = true;
+        task->timer.cancel();
+    }
+    return {204, ""};
+}
+
+HttpResponse Upstream::healthResponse() const
+{
+    const std::string state = faults_.draining ? "draining" : slots_.isCold() ? "cold" : "live";
+    return {200, json::serialize(json::object{{"state", faults_.falseHealth.value_or(state)},
+                                              {"incarnation", incarnation()}})};
+}
+
+HttpResponse Upstream::loadResponse() const
+{
+    return {200, json::serialize(
+                         json::object{{"in_flight", faults_.falseLoad.value_or(slots_.running())},
+                                      {"queued", faults_.falseLoad.value_or(slots_.queued())}})};
+}
+
+HttpResponse Upstream::refuse(UpstreamRefusal reason)
+{
+    ++log_.counters(settings_.name).refused;
+    return respond(protocol::ExecuteRefusal{reason, incarnation(),
+                                            reason == UpstreamRefusal::SnapshotMissing
+                                                    ? heldSnapshots()
+                                                    : std::vector<std::uint64_t>{}});
+}
+
+void Upstream::addSnapshot(const protocol::SnapshotMap &snapshot)
+{
+    std::set<std::string> shards;
+    for (const auto &shard : snapshot.shards) {
+        if (shard.service == settings_.service)
+            shards.insert(shard.id);
+    }
+    held_[snapshot.id] = std::move(shards);
+}
+
+std::vector<std::uint64_t> Upstream::heldSnapshots() const
+{
+    std::vector<std::uint64_t> ids;
+    for (const auto &[id, shards] : held_) {
+        if (!faults_.lagging || id != held_.rbegin()->first)
+            ids.push_back(id);
+    }
+    return ids;
+}
+
+bool Upstream::holds(std::uint64_t snapshot, const std::string &shard) const
+{
+    const auto found = held_.find(snapshot);
+    if (found == held_.end() || !found->second.contains(shard))
+        return false;
+    return !faults_.lagging || snapshot != held_.rbegin()->first;
+}
+
+std::string Upstream::incarnation() const
+{
+    return settings_.name + "-" + std::to_string(settings_.seed) + "-" + std::to_string(life_);
+}
+
+std::chrono::microseconds Upstream::drawServiceTime()
+{
+    std::lognormal_distribution<double> spread(0, settings_.spread);
+    std::uniform_real_distribution<double> share(0, 1);
+    auto time = static_cast<double>(settings_.serviceTime.count()) * spread(random_);
+    const std::chrono::microseconds delay = faults_.delay;
+    if (share(random_) < faults_.slowShare)
+        time = time * faults_.factor + static_cast<double>(delay.count());
+    return std::chrono::microseconds(static_cast<std::int64_t>(time));
+}
+
+Upstream::Response Upstream::waitForClose()
+{
+    co_await runtime_.clock().sleep(CloseDelay);
+    co_return HttpResponse{500, R"({"error":"crashed"})"};
+}
+
+} // namespace persimmon::standin
--- a/transport/http_server.cpp
+++ b/transport/http_server.cpp
@@ -71,7 +71,8 @@
 
     asio::awaitable<bool> write(Session &session, HttpResponse response, unsigned version,
                                 bool keepAlive);
-    asio::awaitable<bool> serveOne(Session &session, beast::flat_buffer &buffer);
+    asio::awaitable<bool> serveOne(Session &session, beast::flat_buffer &buffer,
+                                   const HttpHandler &connectionHandler);
     static asio::awaitable<void> serve(std::shared_ptr<State> self,
                                        std::shared_ptr<Session> session);
     static asio::awaitable<void> accept(std::shared_ptr<State> self);
@@ -89,7 +90,8 @@
     co_return !error && keepAlive;
 }
 
-asio::awaitable<bool> HttpServer::State::serveOne(Session &session, beast::flat_buffer &buffer)
+asio::awaitable<bool> HttpServer::State::serveOne(Session &session, beast::flat_buffer &buffer,
+                                                  const HttpHandler &connectionHandler)
 {
     http::request_parser<http::string_body> parser;
     parser.body_limit(options.bodyLimit);
@@ -111,7 +113,7 @@
     HttpResponse response;
     bool failed = false;
     try {
-        response = co_await handler(std::move(request));
+        response = co_await connectionHandler(std::move(request));
     } catch (const std::exception &exception) {
         failed = true;
         logError("http", "A request handler failed.", {{"reason", exception.what()}});
@@ -129,8 +131,10 @@
                                                std::shared_ptr<Session> session)
 {
     beast::flat_buffer buffer;
-    while (!self->draining || buffer.size() > 0) {
-        if (!co_await self->serveOne(*session, buffer))
+    const HttpHandler connectionHandler =
+            self->options.connectionHandler ? self->options.connectionHandler() : self->handler;
+    while (connectionHandler && (!self->draining || buffer.size() > 0)) {
+        if (!co_await self->serveOne(*session, buffer, connectionHandler))
             break;
     }
     beast::error_code ignored;
--- a/transport/http_server.h
+++ b/transport/http_server.h
@@ -23,6 +23,9 @@
     std::chrono::seconds idleTimeout{60};
     /// Response to a request whose body exceeds the limit.
     std::function<HttpResponse()> tooLarge = [] { return HttpResponse{413, "{}"}; };
+    /// Makes the handler of one accepted connection instead of the common handler. It lives as long
+    /// as the connection. An empty handler closes the connection.
+    std::function<HttpHandler()> connectionHandler = {};
 };
 
 /// HTTP/1.1 server with keep-alive.
