--- a/dispatch/upstream_pool.cpp
+++ b/dispatch/upstream_pool.cpp
@@ -119,7 +119,8 @@
     if (connection->isOpen()) {
         if (work.repeatable || work.lease.idle <= IdleTestAge)
             co_return Ok{};
-        const auto health = co_await connection->send({"GET", "/v1/health", {}}, HealthTimeout);
+        const transport::HttpRequest test{"GET", "/v1/health", {}};
+        const auto health = co_await connection->send(test, HealthTimeout);
         if (isOk(health) && connection->isOpen())
             co_return Ok{};
         connection->close();
@@ -143,8 +144,9 @@
     const auto left = work.deadline - runtime_.clock().now();
     if (left <= transport::Duration(0))
         co_return DispatchError{DispatchErrorCode::Timeout, "the time ended before it was sent"};
-    auto response = co_await work.lease.connection->send(
-            {"POST", "/v1/execute", protocol::encodeExecuteRequest(work.request)}, left);
+    transport::HttpRequest message{"POST", "/v1/execute",
+                                   protocol::encodeExecuteRequest(work.request)};
+    auto response = co_await work.lease.connection->send(std::move(message), left);
     if (!isOk(response))
         co_return convertError(errorOf(response));
     co_return checkReply(work, valueOf(response));
@@ -210,8 +212,9 @@
             if (!isOk(connected))
                 co_return;
         }
-        co_await connection->send(
-                {"POST", "/v1/cancel", protocol::encodeCancelExecution(execution)}, CancelTimeout);
+        const transport::HttpRequest message{"POST", "/v1/cancel",
+                                             protocol::encodeCancelExecution(execution)};
+        co_await connection->send(message, CancelTimeout);
     };
     co_await asio::co_spawn(connection->executor(), post, asio::use_awaitable);
     connections->release(connection, runtime_.clock().now());
--- a/state/service_scheduler.cpp
+++ b/state/service_scheduler.cpp
@@ -1,5 +1,7 @@
 #include "state/service_scheduler.h"
 
+#include "state/crash_tracker.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -66,8 +68,10 @@
     replicas_.onEnded(ended.upstream.name, result, sub.work.snapshot, latency, now);
     if (result.end == AttemptEnd::Answered)
         latency_.record(latency);
-    if (result.end == AttemptEnd::Lost && !ended.cancelled)
+    if (result.end == AttemptEnd::Lost && !ended.cancelled) {
+        ++sub.losses;
         actions.emplace_back(NoteLoss{sub.work.fingerprint});
+    }
     if (!sub.replied)
         applyEnd(actions, sub, ended, result, now);
     if (result.end == AttemptEnd::SnapshotMissing)
@@ -131,7 +135,8 @@
 {
     if (!sub.attempts.empty())
         return;
-    bool retry = now < sub.work.deadline;
+    // Work that lost two connections is quarantined and must not reach a third upstream.
+    bool retry = now < sub.work.deadline && sub.losses < CrashTracker::LossLimit;
     if (executed)
         retry = retry && sub.work.repeatable && budget_.tryTake();
     else
--- a/state/service_scheduler.h
+++ b/state/service_scheduler.h
@@ -68,6 +68,7 @@
         AttemptKind nextKind = AttemptKind::Primary;
         std::uint32_t executions = 0;
         std::uint32_t refusals = 0;
+        std::uint32_t losses = 0;
         protocol::SubError lastError = protocol::SubError::None;
         std::vector<Attempt> attempts;
         TimePoint due;
