--- a/state/state.h
+++ b/state/state.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "state/cluster_view.h"
+#include "state/config_store.h"
 #include "state/crash_tracker.h"
 #include "state/execution_queue.h"
 #include "state/extra_load_budget.h"
+#include "state/gossip_table.h"
 #include "state/latency_record.h"
 #include "state/ownership.h"
 #include "state/replica_set.h"
@@ -11,3 +13,4 @@
 #include "state/service_scheduler.h"
 #include "state/unproven_gate.h"
 #include "state/upstream_ramp.h"
+#include "state/view_store.h"
