--- /dev/null
+++ b/tests/dispatch/test_dispatch_server.cpp
@@ -0,0 +1,251 @@
+#include "dispatch/dispatch.h"
+
+#include <boost/asio/use_future.hpp>
+#include <doctest/doctest.h>
+
+#include <atomic>
+#include <condition_variable>
+#include <thread>
+
+namespace asio = boost::asio;
+using namespace persimmon;
+using namespace std::chrono_literals;
+using protocol::SubError;
+using protocol::SubOutcome;
+
+namespace {
+
+constexpr auto ResultTimeout = 5s;
+const transport::Endpoint AnyLoopback(asio::ip::make_address("127.0.0.1"), 0);
+
+/// Upstream that answers as its hook says and counts executions and cancellations.
+class FakeUpstream
+{
+public:
+    using Answer =
+            std::function<asio::awaitable<transport::HttpResponse>(protocol::ExecuteRequest)>;
+
+    FakeUpstream(transport::Runtime &runtime, Answer answer)
+        : answer_(std::move(answer)),
+          server_(runtime, [this](transport::HttpRequest request) { return handle(request); })
+    {
+        address = transport::formatEndpoint(valueOf(server_.listen(AnyLoopback)));
+    }
+
+    std::string address;
+    std::atomic<int> executions = 0;
+    std::atomic<int> cancellations = 0;
+
+private:
+    asio::awaitable<transport::HttpResponse> handle(transport::HttpRequest request)
+    {
+        if (request.target == "/v1/cancel") {
+            ++cancellations;
+            co_return transport::HttpResponse{204, {}};
+        }
+        ++executions;
+        auto decoded = protocol::decodeExecuteRequest(request.body);
+        co_return co_await answer_(takeValue(decoded));
+    }
+
+    Answer answer_;
+    transport::HttpServer server_;
+};
+
+transport::HttpResponse respond(const protocol::ExecuteReply &reply)
+{
+    return {protocol::executeStatus(reply), protocol::encodeExecuteReply(reply)};
+}
+
+transport::HttpResponse answerTo(const protocol::ExecuteRequest &request)
+{
+    return respond(protocol::ExecuteAnswer{request.requestId, request.attempt, request.shard,
+                                           request.snapshot, "i1", R"(["item"])"});
+}
+
+/// A dispatcher with one service on the given upstreams, and an entry's connection to it.
+class Fixture
+{
+public:
+    void start(const std::vector<std::string> &addresses)
+    {
+        view_->groups["g"] = {2, 10, 0ms, 2};
+        view_->entryHosts["h1"] = {"h1", protocol::HostKind::Entry, "127.0.0.1", "d", ""};
+        for (const auto &address : addresses) {
+            const auto name = "u" + std::to_string(view_->upstreams["g-01"].size());
+            view_->upstreams["g-01"].push_back(
+                    {name, protocol::HostKind::Upstream, address, "d", "g-01"});
+        }
+        hooks.currentView = [this] { return view_; };
+        hooks.reportQuarantine = [this](std::uint64_t, std::chrono::milliseconds) {
+            ++quarantined;
+        };
+        server.emplace(runtime, metrics, dispatch::DispatchOptions{"h1", 7}, hooks);
+        const auto endpoint = valueOf(server->listen(AnyLoopback));
+        runtime.start();
+        auto connecting = asio::co_spawn(runtime.context(),
+                                         transport::connectFrames(runtime, endpoint, 1s, {}),
+                                         asio::use_future);
+        auto connected = connecting.get();
+        connection_ = takeValue(connected);
+        connection_->start([this](const std::string &frame) { onFrame(frame); },
+                           [](const auto &) {});
+        connection_->send(protocol::encodeFrame(protocol::Hello{}));
+    }
+
+    ~Fixture() { runtime.stop(); }
+
+    protocol::Batch makeBatch(std::vector<std::string> shards)
+    {
+        protocol::Batch batch;
+        batch.batchId = ++batches_;
+        batch.requestId = "r" + std::to_string(batch.batchId);
+        batch.group = "g";
+        batch.snapshot = 12;
+        batch.timeLeft = 1s;
+        batch.query = "{}";
+        for (auto &shard : shards)
+            batch.subRequests.push_back({std::move(shard), "g-01"});
+        return batch;
+    }
+
+    /// Sends a batch and waits for the results of all of its sub-requests.
+    std::vector<protocol::SubResult> execute(const protocol::Batch &batch)
+    {
+        connection_->send(protocol::encodeFrame(batch));
+        std::unique_lock lock(mutex_);
+        arrived_.wait_for(lock, ResultTimeout,
+                          [&] { return results_.size() >= batch.subRequests.size(); });
+        REQUIRE(results_.size() == batch.subRequests.size());
+        return std::exchange(results_, {});
+    }
+
+    transport::Runtime runtime{2};
+    transport::Metrics metrics;
+    dispatch::DispatchHooks hooks;
+    std::optional<dispatch::DispatchServer> server;
+    std::atomic<int> quarantined = 0;
+
+private:
+    void onFrame(const std::string &payload)
+    {
+        auto message = protocol::decodeFrame(payload);
+        if (const auto *result = std::get_if<protocol::SubResult>(&valueOf(message))) {
+            const std::lock_guard lock(mutex_);
+            results_.push_back(*result);
+            arrived_.notify_all();
+        }
+    }
+
+    std::shared_ptr<state::ClusterView> view_ = std::make_shared<state::ClusterView>();
+    std::shared_ptr<transport::FrameConnection> connection_;
+    std::uint64_t batches_ = 0;
+    std::mutex mutex_;
+    std::condition_variable arrived_;
+    std::vector<protocol::SubResult> results_;
+};
+
+} // namespace
+
+TEST_CASE("a batch is answered for each shard, and not at all after the shutdown began")
+{
+    // Guards against lost or mixed results, and against work that is taken while draining.
+    Fixture fixture;
+    FakeUpstream upstream(fixture.runtime,
+                          [](auto request) -> asio::awaitable<transport::HttpResponse> {
+                              co_return answerTo(request);
+                          });
+    fixture.start({upstream.address});
+    std::set<std::string> shards;
+    for (const auto &result : fixture.execute(fixture.makeBatch({"s1", "s2", "s3", "s4", "s5"}))) {
+        CHECK(result.outcome == SubOutcome::Done);
+        CHECK(result.items == R"(["item"])");
+        CHECK(result.snapshot == 12);
+        shards.insert(result.shard);
+    }
+    CHECK(shards.size() == 5);
+    CHECK(fixture.server->ramps()["g-01"]["u0"]["limit"].asInt() == 2);
+    CHECK(fixture.server->owners()["g-01"]["first"].asBool());
+    asio::co_spawn(fixture.runtime.context(), fixture.server->drain(), asio::use_future).get();
+    const auto refused = fixture.execute(fixture.makeBatch({"s1"}));
+    CHECK(refused.front().error == SubError::ShuttingDown);
+    CHECK(refused.front().outcome == SubOutcome::NotRun);
+    CHECK(upstream.executions == 5);
+}
+
+TEST_CASE("a hedge answers for a silent upstream, which is told to cancel")
+{
+    // Guards against a query that waits for one straggler until its deadline.
+    Fixture fixture;
+    FakeUpstream slow(fixture.runtime,
+                      [&](auto request) -> asio::awaitable<transport::HttpResponse> {
+                          co_await fixture.runtime.clock().sleep(600ms);
+                          co_return answerTo(request);
+                      });
+    FakeUpstream fast(fixture.runtime,
+                      [](auto request) -> asio::awaitable<transport::HttpResponse> {
+                          co_return answerTo(request);
+                      });
+    fixture.start({slow.address, fast.address});
+    const auto result = fixture.execute(fixture.makeBatch({"s1"})).front();
+    CHECK(result.outcome == SubOutcome::Done);
+    CHECK(result.upstream == "u1");
+    CHECK(result.executions == 2);
+    for (int i = 0; i < 100 && slow.cancellations == 0; ++i)
+        std::this_thread::sleep_for(5ms);
+    CHECK(slow.cancellations == 1);
+}
+
+TEST_CASE("an answer of another request is dropped and a non-repeatable one is not sent again")
+{
+    // Guards against crossed answers, and against a payment that is executed twice.
+    Fixture fixture;
+    FakeUpstream upstream(fixture.runtime,
+                          [](auto request) -> asio::awaitable<transport::HttpResponse> {
+                              request.shard = "other";
+                              co_return answerTo(request);
+                          });
+    fixture.start({upstream.address});
+    auto batch = fixture.makeBatch({"s1"});
+    batch.repeatable = false;
+    const auto result = fixture.execute(batch).front();
+    CHECK(result.outcome == SubOutcome::Unknown);
+    CHECK(result.error == SubError::ConnectionLost);
+    CHECK(upstream.executions == 1);
+    CHECK(fixture.metrics.counter("persimmon_dispatch_mismatched_answers_total", "").value() == 1);
+}
+
+TEST_CASE("a non-repeatable sub-request goes to the next upstream after a refusal")
+{
+    // Guards against refused payments while an upstream drains.
+    Fixture fixture;
+    FakeUpstream draining(fixture.runtime, [](auto) -> asio::awaitable<transport::HttpResponse> {
+        co_return respond(protocol::ExecuteRefusal{protocol::UpstreamRefusal::Draining, "i1", {}});
+    });
+    FakeUpstream live(fixture.runtime,
+                      [](auto request) -> asio::awaitable<transport::HttpResponse> {
+                          co_return answerTo(request);
+                      });
+    fixture.start({draining.address, live.address});
+    auto batch = fixture.makeBatch({"s1"});
+    batch.repeatable = false;
+    CHECK(fixture.execute(batch).front().outcome == SubOutcome::Done);
+    CHECK(live.executions == 1);
+}
+
+TEST_CASE("an unconfirmed view after a pause refuses new work")
+{
+    // Guards against work on the ownership that a paused process remembers.
+    Fixture fixture;
+    FakeUpstream upstream(fixture.runtime,
+                          [](auto request) -> asio::awaitable<transport::HttpResponse> {
+                              co_return answerTo(request);
+                          });
+    fixture.hooks.needsRevalidation = [] { return true; };
+    fixture.hooks.revalidate = [](transport::Duration) -> asio::awaitable<bool> {
+        co_return false;
+    };
+    fixture.start({upstream.address});
+    CHECK(fixture.execute(fixture.makeBatch({"s1"})).front().error == SubError::StaleView);
+    CHECK(upstream.executions == 0);
+}
