--- /dev/null
+++ b/load/locator.cpp
@@ -0,0 +1,56 @@
+#include "load/locator.h"
+
+#include "protocol/caller_codec.h"
+
+namespace asio = boost::asio;
+
+namespace persimmon::load {
+
+namespace {
+
+constexpr std::chrono::milliseconds LocateTimeout{1000};
+
+} // namespace
+
+Locator::Locator(transport::Runtime &runtime, ConnectionPool &pool,
+                 std::vector<transport::Endpoint> entries)
+    : runtime_(runtime),
+      pool_(pool),
+      entries_(std::move(entries))
+{
+}
+
+asio::awaitable<LoadResult<Location>> Locator::locate(std::string caller, std::string profile)
+{
+    const auto known = locations_.find(caller);
+    if (known != locations_.end() && known->second.validUntil > runtime_.clock().now())
+        co_return known->second;
+    locations_.erase(caller);
+    const transport::HttpRequest request{"GET",
+                                         "/v1/locate?caller=" + caller + "&profile=" + profile, ""};
+    for (std::size_t tries = 0; tries < entries_.size(); ++tries) {
+        const auto endpoint = entries_[next_++ % entries_.size()];
+        ++requests_;
+        const auto response = co_await pool_.send(endpoint, request, LocateTimeout);
+        if (!isOk(response) || valueOf(response).status != 200)
+            continue;
+        const auto answer = protocol::decodeLocateAnswer(valueOf(response).body);
+        if (!isOk(answer))
+            continue;
+        replace(caller, valueOf(answer));
+        const auto found = locations_.find(caller);
+        if (found != locations_.end())
+            co_return found->second;
+    }
+    co_return LoadError{LoadErrorCode::NoEntry, "no entry answers locate"};
+}
+
+void Locator::replace(const std::string &caller, const protocol::LocateAnswer &answer)
+{
+    const auto endpoint = transport::parseEndpoint(answer.address);
+    if (!isOk(endpoint))
+        return;
+    locations_[caller] = {valueOf(endpoint), answer.home, runtime_.clock().now() + answer.validFor};
+}
+
+} // namespace persimmon::load
--- a/standin/upstream.h
+++ b/standin/upstream.h
@@ -72,7 +72,7 @@
     struct Task
     {
         Task(const boost::asio::any_io_executor &executor, protocol::ExecuteRequest message)
-            : timer(std::move(executor)),
+            : timer(executor),
               request(std::move(message))
         {
         }
