Add persimmonctl

Operators had no tool to ask an entry or a daemon, and no way to check a configuration before they publish it. The commands locate and query use the caller interface; status, config show, owners and audit call the admin methods; config check applies the checks of the agents to each value of a file and adds those that need several keys: a profile's group must exist, a group needs an index and an index a group. Exit status is 0 for success, 1 for failed or not done, 2 for usage.

The program links its own library only, since it needs nothing of the daemons. The linter's header filter covers ctl/.

build/tests/test_ctl: 6 test cases, 33 assertions pass against servers on loopback. Not run against real daemons, which do not exist yet.

--- /dev/null
+++ b/ctl/ctl.h
@@ -0,0 +1,7 @@
+#pragma once
+
+#include "ctl/admin_commands.h"
+#include "ctl/command_result.h"
+#include "ctl/config_check.h"
+#include "ctl/entry_commands.h"
+#include "ctl/text_report.h"
