Cap the confirmation age in replies

The decoder accepts durations up to 24 h, and an agent that was never confirmed stated the largest duration. An hour now stands for 'not confirmed'.

--- a/state/view_store.cpp
+++ b/state/view_store.cpp
@@ -104,7 +104,7 @@
     update.changed |= mergeHosts(reply.hostsRevision, reply.hosts);
     digestsDiffer_ =
             reply.configRevision == config_.revision() && reply.configDigest != config_.digest();
-    if (isCurrent && reply.confirmedAge < std::chrono::hours(1)) {
+    if (isCurrent && reply.confirmedAge < UnconfirmedAge) {
         const auto confirmedAt = sentAt - reply.confirmedAge;
         configConfirmedAt_ = std::max(configConfirmedAt_.value_or(confirmedAt), confirmedAt);
         hostsConfirmedAt_ = std::max(hostsConfirmedAt_.value_or(confirmedAt), confirmedAt);
@@ -133,7 +133,8 @@
         return std::find(request.incarnations.begin(), request.incarnations.end(), row)
                != request.incarnations.end();
     });
-    reply.confirmedAge = std::chrono::duration_cast<std::chrono::milliseconds>(confirmedAge(now));
+    reply.confirmedAge = std::chrono::duration_cast<std::chrono::milliseconds>(
+            std::min<Duration>(confirmedAge(now), UnconfirmedAge));
     reply.ready = ready_;
     return reply;
 }
--- a/state/view_store.h
+++ b/state/view_store.h
@@ -31,6 +31,9 @@
     /// the transfer times would postpone the expiry with each exchange.
     static constexpr std::chrono::milliseconds ExpiryTolerance{1000};
 
+    /// A reply states at most this age; it also stands for a view that was never confirmed.
+    static constexpr std::chrono::hours UnconfirmedAge{1};
+
     /// @param host name of this host.
     explicit ViewStore(std::string host);
 
--- a/tests/state/test_view_store.cpp
+++ b/tests/state/test_view_store.cpp
@@ -24,10 +24,10 @@
 public:
     void append(std::mt19937_64 &random)
     {
-        static const std::array<std::optional<std::string>, 5> Values{
+        static const std::array<std::optional<std::string>, 5> values{
                 R"(["a"])", R"(["a","b"])", R"([])", std::nullopt, R"({"invalid":1})"};
         const auto *key = random() % 2 == 0 ? "out/domains" : "out/hosts";
-        entries_.push_back({key, entries_.size() + 1, Values[random() % Values.size()]});
+        entries_.push_back({key, entries_.size() + 1, values[random() % values.size()]});
     }
 
     protocol::ConfigReply read(std::uint64_t since, std::uint64_t revision) const
