Add the agent, the view client and the admin server

Daemons need a view that survives an outage of the service and the restart of any process. Agents hold watches (two in each failure domain) and exchange with two random peers each second; an agent that nobody has confirmed for 5 s reads the service at jittered intervals of 2 to 4 s. The view client polls its agent every 500 ms, falls back to the service after 2 s of silence, and needs a confirmation requested after a pause of the event loop over 1 s.

ViewClient gains audit(), so that each daemon's admin server can show its trail, and onChange() calls a new hook with the view that exists already.

--- /dev/null
+++ b/coordination/coordination.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "coordination/admin_server.h"
+#include "coordination/agent.h"
+#include "coordination/audit_trail.h"
+#include "coordination/coordination_error.h"
+#include "coordination/exchange.h"
+#include "coordination/jitter.h"
+#include "coordination/json_text.h"
+#include "coordination/lag_monitor.h"
+#include "coordination/peer_choice.h"
+#include "coordination/platform_client.h"
+#include "coordination/service_read.h"
+#include "coordination/shared_view_store.h"
+#include "coordination/view_client.h"
+#include "coordination/view_json.h"
--- /dev/null
+++ b/coordination/exchange.cpp
@@ -0,0 +1,42 @@
+#include "coordination/exchange.h"
+
+#include "coordination/json_text.h"
+
+#include <stdexcept>
+
+namespace asio = boost::asio;
+
+namespace persimmon::coordination {
+
+asio::awaitable<CoordinationResult<bool>> exchange(transport::RpcClient &client,
+                                                   SharedViewStore &store, transport::Clock &clock,
+                                                   transport::Duration timeout)
+{
+    const auto sentAt = clock.now();
+    const auto request = store.read([&](auto &views) { return views.makeRequest(sentAt); });
+    const auto parameters = toValue(protocol::encodeViewRequest(request));
+    const std::string method = ExchangeMethod;
+    const auto result = co_await client.call(method, parameters, timeout);
+    if (!isOk(result))
+        co_return toCoordinationError(errorOf(result));
+    const auto reply = protocol::decodeViewReply(toText(valueOf(result)));
+    if (!isOk(reply))
+        co_return toCoordinationError(errorOf(reply));
+    store.update(
+            [&](auto &views) { return views.applyReply(valueOf(reply), sentAt, clock.now()); });
+    co_return valueOf(reply).ready;
+}
+
+Json::Value answerExchange(const Json::Value &parameters, SharedViewStore &store,
+                           transport::TimePoint now)
+{
+    const auto request = protocol::decodeViewRequest(toText(parameters));
+    if (!isOk(request))
+        throw std::runtime_error(errorOf(request).message);
+    store.update([&](auto &views) { return views.applyRequest(valueOf(request), now); });
+    const auto reply =
+            store.read([&](auto &views) { return views.makeReply(valueOf(request), now); });
+    return toValue(protocol::encodeViewReply(reply));
+}
+
+} // namespace persimmon::coordination
--- /dev/null
+++ b/coordination/platform_client.cpp
@@ -0,0 +1,81 @@
+#include "coordination/platform_client.h"
+
+namespace asio = boost::asio;
+using namespace std::chrono_literals;
+
+namespace persimmon::coordination {
+
+namespace {
+
+/// The service answers in milliseconds, so that a longer silence means that it is down.
+constexpr auto AnswerTimeout = 1s;
+
+constexpr int StatusOk = 200;
+
+} // namespace
+
+PlatformClient::PlatformClient(asio::any_io_executor executor, transport::Endpoint service)
+    : executor_(std::move(executor)),
+      service_(std::move(service))
+{
+}
+
+PlatformClient::~PlatformClient()
+{
+    if (connection_)
+        connection_->close();
+}
+
+asio::awaitable<CoordinationResult<std::string>>
+PlatformClient::fetch(std::string path, std::uint64_t since, std::chrono::milliseconds wait)
+{
+    if (!connection_ || !connection_->isOpen()) {
+        connection_ = std::make_shared<transport::HttpConnection>(executor_);
+        const auto connected = co_await connection_->connect(service_, AnswerTimeout);
+        if (!isOk(connected))
+            co_return toCoordinationError(errorOf(connected));
+    }
+    transport::HttpRequest request;
+    request.target =
+            path + "?since=" + std::to_string(since) + "&wait_ms=" + std::to_string(wait.count());
+    const auto connection = connection_;
+    const transport::Duration timeout = wait + AnswerTimeout;
+    auto response = co_await connection->send(request, timeout);
+    if (!isOk(response))
+        co_return toCoordinationError(errorOf(response));
+    auto answer = takeValue(response);
+    if (answer.status != StatusOk) {
+        co_return CoordinationError{CoordinationErrorCode::InvalidAnswer,
+                                    "the service answered with status "
+                                            + std::to_string(answer.status)};
+    }
+    co_return std::move(answer.body);
+}
+
+asio::awaitable<CoordinationResult<protocol::ConfigReply>>
+PlatformClient::readConfig(std::uint64_t since, std::chrono::milliseconds wait)
+{
+    const std::string path = "/v1/config";
+    const auto body = co_await fetch(path, since, wait);
+    if (!isOk(body))
+        co_return errorOf(body);
+    auto reply = protocol::decodeConfigReply(valueOf(body));
+    if (!isOk(reply))
+        co_return toCoordinationError(errorOf(reply));
+    co_return takeValue(reply);
+}
+
+asio::awaitable<CoordinationResult<protocol::HostsReply>>
+PlatformClient::readHosts(std::uint64_t since, std::chrono::milliseconds wait)
+{
+    const std::string path = "/v1/hosts";
+    const auto body = co_await fetch(path, since, wait);
+    if (!isOk(body))
+        co_return errorOf(body);
+    auto reply = protocol::decodeHostsReply(valueOf(body));
+    if (!isOk(reply))
+        co_return toCoordinationError(errorOf(reply));
+    co_return takeValue(reply);
+}
+
+} // namespace persimmon::coordination
--- /dev/null
+++ b/coordination/service_read.cpp
@@ -0,0 +1,29 @@
+#include "coordination/service_read.h"
+
+namespace asio = boost::asio;
+
+namespace persimmon::coordination {
+
+asio::awaitable<bool> readConfigInto(SharedViewStore &store, PlatformClient &client,
+                                     transport::Clock &clock, std::chrono::milliseconds wait)
+{
+    const auto since = store.read([](auto &views) { return views.config().revision(); });
+    const auto reply = co_await client.readConfig(since, wait);
+    if (!isOk(reply))
+        co_return false;
+    store.update([&](auto &views) { return views.applyConfig(valueOf(reply), clock.now()); });
+    co_return true;
+}
+
+asio::awaitable<bool> readHostsInto(SharedViewStore &store, PlatformClient &client,
+                                    transport::Clock &clock, std::chrono::milliseconds wait)
+{
+    const auto since = store.read([](auto &views) { return views.hostsRevision(); });
+    const auto reply = co_await client.readHosts(since, wait);
+    if (!isOk(reply))
+        co_return false;
+    store.update([&](auto &views) { return views.applyHosts(valueOf(reply), clock.now()); });
+    co_return true;
+}
+
+} // namespace persimmon::coordination
--- a/coordination/view_client.h
+++ b/coordination/view_client.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/audit_trail.h"
 #include "state/cluster_view.h"
 #include "transport/transport.h"
 
@@ -54,9 +55,13 @@
     /// Announces incarnation and epoch of this host's entry.
     void reportIncarnation(std::uint64_t incarnation, std::uint64_t epoch);
 
-    /// Calls @p hook after each change of the view, on the client's strand.
+    /// Calls @p hook with the current view, if there is one, and after each change of the view, on
+    /// the client's strand.
     void onChange(std::function<void(const state::ClusterView &)> hook);
 
+    /// @return the configuration changes that this client has merged.
+    const AuditTrail &audit() const;
+
 private:
     struct State;
     std::shared_ptr<State> state_;
