Name the admin answer on services of a dispatcher services

Cause: the admin server of coordination has a method owners, computed from the view.

Change: DispatchServer::owners() becomes services().

Conclusion: build/tests/test_dispatch passes 5 cases, 39 assertions.

--- a/dispatch/dispatch_server.cpp
+++ b/dispatch/dispatch_server.cpp
@@ -293,7 +293,7 @@
     return result;
 }
 
-Json::Value DispatchServer::owners() const
+Json::Value DispatchServer::services() const
 {
     Json::Value result(Json::objectValue);
     for (const auto &[service, executor] : executors()) {
--- a/dispatch/dispatch_server.h
+++ b/dispatch/dispatch_server.h
@@ -41,7 +41,7 @@
     Json::Value ramps() const;
 
     /// @return {service: {first, waiting, extra_load_tokens}} of the services that had work.
-    Json::Value owners() const;
+    Json::Value services() const;
 
     /// @return {host, draining, ready, active, config_revision}.
     Json::Value status() const;
--- a/tests/dispatch/test_dispatch_server.cpp
+++ b/tests/dispatch/test_dispatch_server.cpp
@@ -165,7 +165,7 @@
     }
     CHECK(shards.size() == 5);
     CHECK(fixture.server->ramps()["g-01"]["u0"]["limit"].asInt() == 2);
-    CHECK(fixture.server->owners()["g-01"]["first"].asBool());
+    CHECK(fixture.server->services()["g-01"]["first"].asBool());
     asio::co_spawn(fixture.runtime.context(), fixture.server->drain(), asio::use_future).get();
     const auto refused = fixture.execute(fixture.makeBatch({"s1"}));
     CHECK(refused.front().error == SubError::ShuttingDown);
