Read the rest of an oversized request before closing

The server closed a connection with unread input after a 413, which reset it, and the client lost the response. It now reads and drops at most 32 MB for at most 1 s. Seen with a body of 1 MB + 1 byte in test_entry: no response before, body_too_large after.

--- a/transport/http_server.cpp
+++ b/transport/http_server.cpp
@@ -20,6 +20,11 @@
 constexpr auto AwaitTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::chrono::milliseconds DrainPollInterval{10};
 
+/// Input of a refused request that is read and dropped before the connection is closed.
+constexpr std::size_t DiscardChunk = 64U * 1024U;
+constexpr std::size_t DiscardLimit = 32U * 1024U * 1024U;
+constexpr std::chrono::seconds DiscardTime{1};
+
 struct Session
 {
     explicit Session(tcp::socket socket) : stream(std::move(socket)) {}
@@ -73,6 +78,7 @@
                                 bool keepAlive);
     asio::awaitable<bool> serveOne(Session &session, beast::flat_buffer &buffer,
                                    const HttpHandler &connectionHandler);
+    static asio::awaitable<void> discardInput(Session &session);
     static asio::awaitable<void> serve(std::shared_ptr<State> self,
                                        std::shared_ptr<Session> session);
     static asio::awaitable<void> accept(std::shared_ptr<State> self);
@@ -90,6 +96,21 @@
     co_return !error && keepAlive;
 }
 
+asio::awaitable<void> HttpServer::State::discardInput(Session &session)
+{
+    // Closing a socket with unread input resets the connection, which can destroy the response
+    // before the client has read it.
+    std::vector<char> chunk(DiscardChunk);
+    session.stream.expires_after(DiscardTime);
+    for (std::size_t total = 0; total < DiscardLimit;) {
+        const auto [error, bytes] =
+                co_await session.stream.async_read_some(asio::buffer(chunk), AwaitTuple);
+        if (error)
+            co_return;
+        total += bytes;
+    }
+}
+
 asio::awaitable<bool> HttpServer::State::serveOne(Session &session, beast::flat_buffer &buffer,
                                                   const HttpHandler &connectionHandler)
 {
@@ -100,6 +121,7 @@
             co_await http::async_read(session.stream, buffer, parser, AwaitTuple);
     if (error == http::error::body_limit) {
         co_await write(session, options.tooLarge(), 11, false);
+        co_await discardInput(session);
         co_return false;
     }
     if (error)
