Find started request ids while new ones are refused

A duplicate of a started request must not be answered not_run while the entry shuts down or its view is unconfirmed. begin() now takes allowNew.

--- a/state/idempotency_store.h
+++ b/state/idempotency_store.h
@@ -16,7 +16,7 @@
 namespace persimmon::state {
 
 /// What an entry must do with a non-repeatable request of its own incarnation.
-enum class Admission { Start, Join, Replay, Expired, Future, Full };
+enum class Admission { Start, Join, Replay, Expired, Future, Full, Refused };
 
 /// Decision on a request id.
 struct AdmissionResult
@@ -41,8 +41,9 @@
     /// @param unique unique part of the id.
     /// @param current epoch by the home's clock.
     /// @param waiter kept and called once, only with Join.
+    /// @param allowNew false refuses an id without a record, and still finds one that has started.
     AdmissionResult begin(std::uint64_t epoch, std::string_view unique, std::uint64_t current,
-                          Waiter waiter);
+                          Waiter waiter, bool allowNew = true);
 
     /// Stores the outcome of a started id and answers the joined duplicates. A later call changes
     /// only an unknown outcome, and only into done.
@@ -75,7 +76,8 @@
     static constexpr std::size_t PartCount = 16;
 
     Part &partOf(std::string_view unique);
-    AdmissionResult beginLocked(EpochRecords &records, std::string_view unique, Waiter waiter);
+    AdmissionResult beginLocked(EpochRecords &records, std::string_view unique, Waiter waiter,
+                                bool allowNew);
     std::vector<Waiter> dropLocked(Part &part, std::uint64_t oldest);
 
     const std::size_t capacity_;
