Add query execution, at-most-once execution and the caller server

QueryExecutor runs a query through the owning dispatchers with canary, retry at the next dispatcher, replan and coverage. The executors themselves have no test yet; they were only compiled.

--- a/entry/entry.h
+++ b/entry/entry.h
@@ -2,3 +2,6 @@
 
 #include "entry/dispatcher_links.h"
 #include "entry/entry_hooks.h"
+#include "entry/entry_server.h"
+#include "entry/naive_executor.h"
+#include "entry/query_executor.h"
--- /dev/null
+++ b/entry/locator.cpp
@@ -0,0 +1,40 @@
+#include "entry/locator.h"
+
+namespace persimmon::entry {
+
+Locator::Locator(EntryIdentity identity, std::chrono::milliseconds validFor,
+                 std::uint16_t entryPort)
+    : identity_(std::move(identity)),
+      validFor_(validFor),
+      entryPort_(entryPort),
+      epochs_(identity_.started)
+{
+}
+
+std::optional<protocol::LocateAnswer>
+Locator::locate(const state::ClusterView &view, std::string_view caller, state::TimePoint now) const
+{
+    for (const auto &host : state::rankEntries(view, caller)) {
+        const auto home = homeOf(view, host, now);
+        if (!home)
+            continue;
+        const auto &address = view.entryHosts.at(host).address;
+        return protocol::LocateAnswer{address + ":" + std::to_string(entryPort_), validFor_,
+                                      state::formatHome(*home)};
+    }
+    return std::nullopt;
+}
+
+std::optional<state::Home> Locator::homeOf(const state::ClusterView &view, const std::string &host,
+                                           state::TimePoint now) const
+{
+    // The view may still hold the incarnation that ran on this host before.
+    if (host == identity_.host)
+        return state::Home{host, identity_.incarnation, epochs_.epochAt(now)};
+    const auto found = view.incarnations.find(host);
+    if (found == view.incarnations.end())
+        return std::nullopt;
+    return state::Home{host, found->second.incarnation, found->second.epoch};
+}
+
+} // namespace persimmon::entry
--- /dev/null
+++ b/entry/locator.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "entry/entry_hooks.h"
+
+#include <optional>
+
+namespace persimmon::entry {
+
+/// Chooses the entry that a caller should use.
+class Locator
+{
+public:
+    /// @param validFor how long a caller may keep an answer.
+    /// @param entryPort port of all entries.
+    Locator(EntryIdentity identity, std::chrono::milliseconds validFor, std::uint16_t entryPort);
+
+    /// @return the best available entry whose incarnation is known, or nothing when there is none.
+    std::optional<protocol::LocateAnswer>
+    locate(const state::ClusterView &view, std::string_view caller, state::TimePoint now) const;
+
+    std::chrono::milliseconds validFor() const { return validFor_; }
+
+private:
+    std::optional<state::Home> homeOf(const state::ClusterView &view, const std::string &host,
+                                      state::TimePoint now) const;
+
+    const EntryIdentity identity_;
+    const std::chrono::milliseconds validFor_;
+    const std::uint16_t entryPort_;
+    const state::EpochClock epochs_;
+};
+
+} // namespace persimmon::entry
--- /dev/null
+++ b/entry/query_run.cpp
@@ -0,0 +1,278 @@
+#include "entry/query_run.h"
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+
+namespace asio = boost::asio;
+
+namespace persimmon::entry {
+
+using protocol::Outcome;
+using protocol::SubResult;
+using state::MergeAction;
+using state::MergeStep;
+
+namespace {
+
+/// How often the view is read while a snapshot of the caller's token is unknown here.
+constexpr std::chrono::milliseconds TokenPollInterval{20};
+
+/// The wait for a snapshot of the caller's token is at most the deadline divided by this number.
+constexpr int TokenDeadlineShare = 4;
+
+} // namespace
+
+QueryRun::QueryRun(std::shared_ptr<ExecutorContext> context, asio::any_io_executor strand,
+                   protocol::QueryRequest request, state::TimePoint arrival, LateHandler onLate)
+    : context_(std::move(context)),
+      strand_(std::move(strand)),
+      request_(std::move(request)),
+      arrival_(arrival),
+      onLate_(std::move(onLate)),
+      inbox_(strand_)
+{
+}
+
+asio::awaitable<protocol::QueryAnswer> QueryRun::run()
+{
+    auto plan = co_await makeFirstPlan();
+    if (!isOk(plan))
+        co_return makePlanRefusal(errorOf(plan));
+    const auto &profile = valueOf(plan).profile;
+    fingerprint_ = state::queryFingerprint(profile.group, request_.query);
+    if (view_->quarantined.contains(fingerprint_))
+        co_return protocol::makeRefusal(protocol::CallerError::Quarantined,
+                                        "the query is quarantined after crashes of upstreams");
+    deadline_ = arrival_ + timeLimit(profile, request_);
+    if (now() >= deadline_)
+        co_return protocol::makeRefusal(protocol::CallerError::DeadlineOver,
+                                        "the deadline was over before anything ran");
+    requestId_ = request_.requestId.value_or(context_->options.host + "."
+                                             + std::to_string(context_->options.incarnation) + "-"
+                                             + std::to_string(++context_->lastQuery));
+    adopt(takeValue(plan));
+    do {
+        replanNeeded_ = false;
+        co_await sendPlan();
+        co_await collect();
+    } while (replanNeeded_);
+    finished_ = true;
+    co_return makeAnswer();
+}
+
+asio::awaitable<QueryRun::PlanResult> QueryRun::makeFirstPlan()
+{
+    while (true) {
+        view_ = context_->hooks.view();
+        if (!view_)
+            co_return state::PlanError{state::PlanErrorCode::NoOwner, "no view yet"};
+        auto plan = state::QueryPlanner(*view_).plan(request_);
+        if (isOk(plan) || errorOf(plan).code != state::PlanErrorCode::SnapshotUnavailable
+            || !request_.snapshotToken)
+            co_return plan;
+        const auto &profile = view_->profiles.at(request_.profile);
+        if (now() >= arrival_ + timeLimit(profile, request_) / TokenDeadlineShare)
+            co_return plan;
+        co_await context_->runtime.clock().sleep(TokenPollInterval);
+    }
+}
+
+void QueryRun::adopt(state::QueryPlan plan)
+{
+    const auto enoughAt = arrival_ + plan.profile.enoughAfter;
+    const state::MergeLimits limits{enoughAt, deadline_};
+    merge_.emplace(std::move(plan), limits);
+}
+
+asio::awaitable<void> QueryRun::sendPlan()
+{
+    const auto &plan = merge_->plan();
+    const bool wanted = context_->options.canary && plan.profile.repeatable
+                        && plan.shards.size() > 1 && !context_->gate.isProven(fingerprint_);
+    if (!wanted) {
+        sendAllExcept(std::nullopt);
+        co_return;
+    }
+    const auto shard = state::CanaryGate::canaryShard(fingerprint_, plan.shards.size());
+    sendShards(plan.shards[shard].dispatchers.front(), {shard}, true);
+    context_->metrics.canaryHolds.add();
+    if (co_await holdForCanary(shard))
+        sendAllExcept(shard);
+}
+
+asio::awaitable<bool> QueryRun::holdForCanary(std::size_t shard)
+{
+    const auto hold = state::CanaryGate::holdTime(deadline_ - now());
+    const auto until = now() + hold;
+    const auto &id = merge_->plan().shards[shard].shard.id;
+    while (now() < until) {
+        co_await inbox_.waitUntil(until);
+        for (const auto &result : inbox_.results()) {
+            // collect() ends the query when the canary is refused as quarantined.
+            if (result.shard == id)
+                co_return result.error != protocol::SubError::Quarantined;
+        }
+        if (!inbox_.results().empty())
+            co_return true;
+    }
+    co_return true;
+}
+
+void QueryRun::sendAllExcept(std::optional<std::size_t> sent)
+{
+    for (auto &[dispatcher, shards] : merge_->plan().byOwner()) {
+        auto rest = shards;
+        if (sent)
+            std::erase(rest, *sent);
+        if (!rest.empty())
+            sendShards(dispatcher, rest, false);
+    }
+}
+
+void QueryRun::sendShards(const std::string &dispatcher, const std::vector<std::size_t> &shards,
+                          bool canary)
+{
+    const auto &plan = merge_->plan();
+    protocol::Batch batch;
+    batch.batchId = context_->links.nextBatchId();
+    batch.requestId = requestId_;
+    batch.group = plan.profile.group;
+    batch.snapshot = plan.snapshot;
+    batch.configRevision = plan.configRevision;
+    batch.timeLeft = std::chrono::duration_cast<std::chrono::microseconds>(deadline_ - now());
+    batch.priority = plan.profile.priority;
+    batch.repeatable = plan.profile.repeatable;
+    batch.extraLoad = plan.profile.extraLoad;
+    batch.fingerprint = fingerprint_;
+    batch.canary = canary;
+    batch.query = request_.query;
+    batch.key = request_.key.value_or("");
+    for (const auto shard : shards) {
+        merge_->expect(batch.batchId, shard);
+        batch.subRequests.push_back(
+                {plan.shards[shard].shard.id, plan.shards[shard].shard.service});
+    }
+    const auto &address = view_->entryHosts.at(dispatcher).address;
+    const auto endpoint = transport::parseEndpoint(
+            address + ":" + std::to_string(context_->options.dispatchPort));
+    if (!isOk(endpoint)) {
+        for (const auto &sub : batch.subRequests) {
+            SubResult result;
+            result.batchId = batch.batchId;
+            result.shard = sub.shard;
+            result.snapshot = batch.snapshot;
+            result.error = protocol::SubError::ConnectionLost;
+            inbox_.push(std::move(result));
+        }
+        return;
+    }
+    const auto link = context_->links.link(valueOf(endpoint));
+    linksByBatch_[batch.batchId] = link;
+    link->send(std::move(batch), [self = shared_from_this()](const SubResult &result) {
+        asio::post(self->strand_, [self, result] { self->onResult(result); });
+    });
+}
+
+void QueryRun::onResult(const SubResult &result)
+{
+    if (result.outcome == protocol::SubOutcome::Done)
+        context_->gate.markProven(fingerprint_);
+    if (finished_) {
+        onLateResult(result);
+        return;
+    }
+    inbox_.push(result);
+}
+
+void QueryRun::onLateResult(const SubResult &result)
+{
+    if (!onLate_)
+        return;
+    merge_->accept(result, now());
+    auto answer = makeAnswer();
+    if (answer.outcome == Outcome::Done)
+        onLate_(answer);
+}
+
+asio::awaitable<void> QueryRun::collect()
+{
+    while (true) {
+        const auto step = takeResults();
+        if (step.action == MergeAction::Replan) {
+            replanNeeded_ = true;
+            co_return;
+        }
+        if (step.action == MergeAction::Answer)
+            co_return;
+        co_await inbox_.waitUntil(merge_->nextDecision(now()));
+    }
+}
+
+MergeStep QueryRun::takeResults()
+{
+    while (const auto result = inbox_.take()) {
+        const auto step = takeResult(*result);
+        if (step.action == MergeAction::Replan || step.action == MergeAction::Answer)
+            return step;
+    }
+    return merge_->decide(now());
+}
+
+MergeStep QueryRun::takeResult(const SubResult &result)
+{
+    auto step = merge_->accept(result, now());
+    if (step.action == MergeAction::Drop)
+        context_->metrics.mismatched.add();
+    if (step.action == MergeAction::Retry)
+        sendShards(step.dispatcher, {step.shard}, false);
+    if (step.action == MergeAction::Replan && !replan())
+        step = merge_->decide(now());
+    // A quarantined query is refused by every dispatcher, so the other shards are not awaited.
+    if (step.action == MergeAction::Wait && result.error == protocol::SubError::Quarantined)
+        step.action = MergeAction::Answer;
+    return step;
+}
+
+bool QueryRun::replan()
+{
+    triedSnapshots_.insert(merge_->plan().snapshot);
+    const auto view = context_->hooks.view();
+    auto plan = state::QueryPlanner(*view).plan(request_, triedSnapshots_);
+    if (!isOk(plan))
+        return false;
+    view_ = view;
+    const auto before = merge_->answer(now());
+    earlierExecutions_ += before.executions;
+    earlierMayHaveRun_ = earlierMayHaveRun_ || merge_->mayHaveRun();
+    cancelOpen();
+    inbox_.clear();
+    context_->metrics.replans.add();
+    adopt(takeValue(plan));
+    return true;
+}
+
+void QueryRun::cancelOpen()
+{
+    for (auto &[batch, shards] : merge_->open()) {
+        if (const auto found = linksByBatch_.find(batch); found != linksByBatch_.end())
+            found->second->cancel(batch, std::move(shards));
+    }
+}
+
+protocol::QueryAnswer QueryRun::makeAnswer()
+{
+    auto answer = merge_->answer(now());
+    answer.executions += earlierExecutions_;
+    if (answer.outcome == Outcome::NotRun && earlierMayHaveRun_) {
+        answer.outcome = Outcome::Unknown;
+        answer.error = protocol::CallerError::Incomplete;
+        answer.message = "shards ran on a snapshot that was given up";
+    }
+    // A late answer of a non-repeatable request still turns its record into done.
+    if (merge_->plan().profile.repeatable)
+        cancelOpen();
+    return answer;
+}
+
+} // namespace persimmon::entry
--- /dev/null
+++ b/entry/query_run.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "entry/query_executor.h"
+#include "entry/result_inbox.h"
+
+#include <optional>
+
+namespace persimmon::entry {
+
+/// One query of the managed policy from plan to answer. Runs on one strand.
+class QueryRun : public std::enable_shared_from_this<QueryRun>
+{
+public:
+    QueryRun(std::shared_ptr<ExecutorContext> context, boost::asio::any_io_executor strand,
+             protocol::QueryRequest request, state::TimePoint arrival, LateHandler onLate);
+
+    /// @return the answer, whatever its outcome.
+    boost::asio::awaitable<protocol::QueryAnswer> run();
+
+private:
+    using PlanResult = Result<state::QueryPlan, state::PlanError>;
+
+    boost::asio::awaitable<PlanResult> makeFirstPlan();
+    boost::asio::awaitable<void> sendPlan();
+    boost::asio::awaitable<bool> holdForCanary(std::size_t shard);
+    boost::asio::awaitable<void> collect();
+    state::MergeStep takeResults();
+    state::MergeStep takeResult(const protocol::SubResult &result);
+    bool replan();
+    void adopt(state::QueryPlan plan);
+    void sendShards(const std::string &dispatcher, const std::vector<std::size_t> &shards,
+                    bool canary);
+    void sendAllExcept(std::optional<std::size_t> sent);
+    void onResult(const protocol::SubResult &result);
+    void onLateResult(const protocol::SubResult &result);
+    void cancelOpen();
+    protocol::QueryAnswer makeAnswer();
+    state::TimePoint now() const { return context_->runtime.clock().now(); }
+
+    const std::shared_ptr<ExecutorContext> context_;
+    const boost::asio::any_io_executor strand_;
+    const protocol::QueryRequest request_;
+    const state::TimePoint arrival_;
+    const LateHandler onLate_;
+    EntryHooks::View view_;
+    std::optional<state::QueryMerge> merge_;
+    ResultInbox inbox_;
+    std::map<std::uint64_t, std::shared_ptr<DispatcherLink>> linksByBatch_;
+    std::set<std::uint64_t> triedSnapshots_;
+    std::string requestId_;
+    std::uint64_t fingerprint_ = 0;
+    state::TimePoint deadline_{};
+    std::uint32_t earlierExecutions_ = 0;
+    bool earlierMayHaveRun_ = false;
+    bool replanNeeded_ = false;
+    bool finished_ = false;
+};
+
+} // namespace persimmon::entry
--- /dev/null
+++ b/entry/result_inbox.cpp
@@ -0,0 +1,33 @@
+#include "entry/result_inbox.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace asio = boost::asio;
+
+namespace persimmon::entry {
+
+void ResultInbox::push(protocol::SubResult result)
+{
+    results_.push_back(std::move(result));
+    timer_.cancel();
+}
+
+std::optional<protocol::SubResult> ResultInbox::take()
+{
+    if (results_.empty())
+        return std::nullopt;
+    auto result = std::move(results_.front());
+    results_.pop_front();
+    return result;
+}
+
+asio::awaitable<void> ResultInbox::waitUntil(transport::TimePoint time)
+{
+    if (!results_.empty())
+        co_return;
+    timer_.expires_at(time);
+    co_await timer_.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+} // namespace persimmon::entry
