--- a/misc/demo.sh
+++ b/misc/demo.sh
@@ -66,7 +66,7 @@
     read -r profile operation key <<<"$line"
     answer=$(query --profile "$profile" --query "{\"op\":\"$operation\"}" ${key:+--key "$key"})
     echo "$profile: coverage $(field fraction <<<"$answer"), $(field elapsed_ms <<<"$answer") ms"
-    check "$profile is done" test "$(field outcome <<<"$answer")" = done
+    check "$profile is done" test "$(field outcome <<<"$answer")" = "done"
   done
 }
 
@@ -103,7 +103,7 @@
   check "it gets work again" test "${age_back:-999999}" -lt 1000
   echo "$load_profile: $(field sent <"$run/load.json") sent, p50 $(field p50 <"$run/load.json") ms," \
     "p99 $(field p99 <"$run/load.json") ms, mean coverage $(field mean_coverage <"$run/load.json")"
-  check "every query was done" test "$(field sent <"$run/load.json")" = "$(field done <"$run/load.json")"
+  check "every query was done" test "$(field sent <"$run/load.json")" = "$(field "done" <"$run/load.json")"
 }
 
 echo "building"
--- a/standin/upstream.cpp
+++ b/standin/upstream.cpp
@@ -279,7 +279,7 @@
 
 std::string Upstream::incarnation() const
 {
-    return settings_.name + "-" + std::to_string(settings_.seed) + "-" + std::to_string(life_);
+    return settings_.name + "-" + std::to_string(processStart_) + "-" + std::to_string(life_);
 }
 
 std::chrono::microseconds Upstream::drawServiceTime()
--- a/standin/upstream.h
+++ b/standin/upstream.h
@@ -110,6 +110,8 @@
     std::list<std::weak_ptr<Connection>> connections_;
     std::list<TaskPointer> tasks_;
     std::map<std::uint64_t, std::set<std::string>> held_;
+    /// Start of the process, so that incarnations differ after it restarts.
+    std::int64_t processStart_ = std::chrono::system_clock::now().time_since_epoch().count();
     /// Counts starts; work of an earlier life has no effect.
     std::uint64_t life_ = 1;
     bool down_ = false;
