--- a/load/load_generator.cpp
+++ b/load/load_generator.cpp
@@ -96,6 +96,7 @@
         // The repetition carries the id of the first request, so that one must exist before it.
         const auto location = co_await locate(query);
         if (isOk(location)) {
+            query->repeated = true;
             ++query->unfinished;
             runtime_.spawn(repeatQuery(query));
         }
@@ -125,7 +126,7 @@
 {
     if (--query->unfinished > 0)
         return;
-    if (settings_.pressTwice && !query->profile->profile.repeatable) {
+    if (query->repeated) {
         report_.addRepetition(query->answer ? &*query->answer : nullptr,
                               query->repetition ? &*query->repetition : nullptr);
     }
--- a/load/load_generator.h
+++ b/load/load_generator.h
@@ -48,6 +48,7 @@
         std::string requestId;
         std::optional<protocol::QueryAnswer> answer;
         std::optional<protocol::QueryAnswer> repetition;
+        bool repeated = false;
         int unfinished = 1;
     };
     using QueryPointer = std::shared_ptr<Query>;
--- a/main/persimmon_load.cpp
+++ b/main/persimmon_load.cpp
@@ -72,8 +72,10 @@
         return settings.reject("entries", "IP:port, separated by commas");
     const auto mix =
             load::ProfileMix::parse(settings.text("mix"), readFile(settings.text("config")));
-    if (!isOk(mix))
-        return settings.reject("mix", errorOf(mix).message);
+    if (!isOk(mix)) {
+        const bool config = errorOf(mix).code == load::LoadErrorCode::ConfigInvalid;
+        return settings.reject(config ? "config" : "mix", errorOf(mix).message);
+    }
     transport::Runtime runtime(1);
     load::LoadGenerator generator(runtime, *loadSettings, valueOf(mix));
     bool completed = false;
