Test the pause of a view client and time the relay

A process that resumes with an old view must not send new work before a confirmation, and nothing guarded this. The test advances the clock by 3 s and requires a revalidation.

--- a/tests/coordination/test_agent.cpp
+++ b/tests/coordination/test_agent.cpp
@@ -46,6 +46,12 @@
     return false;
 }
 
+std::int64_t millisecondsSince(std::chrono::steady_clock::time_point start)
+{
+    const auto taken = std::chrono::steady_clock::now() - start;
+    return std::chrono::duration_cast<std::chrono::milliseconds>(taken).count();
+}
+
 /// Minimal configuration service; holds one key and a fixed host list, and each test has its own.
 class FakeService
 {
@@ -192,8 +198,10 @@
     FakeService service;
     Fleet fleet(service, 1);
     REQUIRE(eventually([&] { return fleet.allHold(1, "none"); }));
+    const auto changedAt = std::chrono::steady_clock::now();
     service.setOutDomain("domain-1", 2);
     CHECK(eventually([&] { return fleet.allHold(2, "domain-1"); }));
+    MESSAGE("relayed change in force at 6 agents after ms: " << millisecondsSince(changedAt));
 }
 
 // Guards against agents that lose or revert their view when the service is down or stale, and
@@ -242,6 +250,26 @@
     CHECK(eventually([&] { return client.view()->configRevision == 2; }));
 }
 
+// Guards against new work on a stale view after the process was paused.
+TEST_CASE("a paused view client needs a confirmation that was requested after the pause")
+{
+    FakeService service;
+    Fleet fleet(service, HostCount);
+    transport::Runtime runtime(2);
+    runtime.start();
+    ViewClient client(runtime, {hostName(2), agentAddress(2), service.address(), 100ms});
+    client.start();
+    REQUIRE(eventually([&] { return client.isReady(); }));
+    CHECK_FALSE(client.needsRevalidation());
+    runtime.clock().pause();
+    runtime.clock().advance(3s);
+    CHECK(client.needsRevalidation());
+    auto task = client.revalidate(300ms);
+    CHECK(asio::co_spawn(runtime.context(), std::move(task), asio::use_future).get());
+    CHECK_FALSE(client.needsRevalidation());
+    runtime.stop();
+}
+
 // Prints the cost of an idle fleet, and guards against reads beyond one watch a second per agent.
 TEST_CASE("an idle fleet reads the service rarely and exchanges little")
 {
@@ -263,7 +291,5 @@
     const auto changedAt = std::chrono::steady_clock::now();
     service.setOutDomain("domain-1", 2);
     REQUIRE(eventually([&] { return fleet.allHold(2, "domain-1"); }));
-    const auto taken = std::chrono::steady_clock::now() - changedAt;
-    MESSAGE("change in force at 6 agents after ms: "
-            << std::chrono::duration_cast<std::chrono::milliseconds>(taken).count());
+    MESSAGE("change in force at 6 agents after ms: " << millisecondsSince(changedAt));
 }
