Stop the start of a deployment at the first process that is not ready

With the daemons missing, the script went on to wait 30 s for each of the six entries, because errexit is off inside a function called before ||.

--- a/misc/run_deployment.sh
+++ b/misc/run_deployment.sh
@@ -46,7 +46,7 @@
   # shellcheck disable=SC2086
   launch standin persimmon-standin --deployment "$folder" --network "$network" --platform "$platform" \
     --control "$network.0.1:7001" ${STANDIN_FLAGS:-}
-  wait_for "http://$platform/v1/config?since=0"
+  wait_for "http://$platform/v1/config?since=0" || return 1
   while read -r name address domain; do
     echo "starting agent, dispatcher and entry on $name ($address, $domain)"
     launch "agent-$name" persimmon-agent --host "$name" --address "$address" --failure-domain "$domain" \
@@ -59,7 +59,7 @@
   done < <(entry_hosts)
   echo "waiting until all entries are ready (at most $ReadyTimeoutS s)"
   while read -r name address domain; do
-    wait_for "http://$address:7100/v1/locate?caller=start&profile=start"
+    wait_for "http://$address:7100/v1/locate?caller=start&profile=start" || return 1
   done < <(entry_hosts)
 }
 
