Add persimmon-entry, the shared daemon settings and tests over real processes

Cause: the libraries were there, but no program joined them into the whole path, and the three daemons each declared the same flags and address check. Change: main/persimmon_entry.cpp; coordination/daemon_settings with the flags, the incarnation and the start message that all daemons share; tests/system starts the stand-ins and six entry hosts as processes and judges by the stand-in's counts.

--- a/coordination/coordination.h
+++ b/coordination/coordination.h
@@ -4,6 +4,7 @@
 #include "coordination/agent.h"
 #include "coordination/audit_trail.h"
 #include "coordination/coordination_error.h"
+#include "coordination/daemon_settings.h"
 #include "coordination/exchange.h"
 #include "coordination/jitter.h"
 #include "coordination/json_text.h"
--- a/main/persimmon_agent.cpp
+++ b/main/persimmon_agent.cpp
@@ -1,15 +1,12 @@
 #include "coordination/coordination.h"
 
-#include <boost/asio/ip/address.hpp>
-
-#include <iostream>
 #include <sstream>
 
 using namespace persimmon;
 
 namespace {
 
-constexpr int BindExitStatus = 1;
+constexpr int StartFailure = 1;
 constexpr int Threads = 2;
 
 /// Reads a list of IP:port, separated by commas. Empty parts are skipped.
@@ -28,13 +25,6 @@
     return peers;
 }
 
-std::optional<std::string> checkAddress(const std::string &text)
-{
-    boost::system::error_code error;
-    boost::asio::ip::make_address(text, error);
-    return error ? std::optional<std::string>("an IP address such as 127.0.1.1") : std::nullopt;
-}
-
 std::optional<std::string> checkPeers(const std::string &text)
 {
     if (isOk(parsePeers(text)))
@@ -44,26 +34,16 @@
 
 void addSettings(transport::Settings &settings)
 {
-    settings.addText("host", "name of this host in the host list", "");
-    settings.require("host");
-    settings.addText("address", "IP address of this host", "127.0.0.1", checkAddress);
-    settings.addInteger("port", "port of the agents on all hosts", protocol::AgentPort, 1, 65535);
-    settings.addText("failure-domain", "failure domain of this host", "");
-    settings.require("failure-domain");
-    settings.addEndpoint("service", "configuration service and host list", "127.0.0.1:7400");
+    coordination::addDaemonSettings(settings, protocol::AgentPort);
     settings.addText("peers", "agents to ask while the host list is unknown, separated by commas",
                      "", checkPeers);
-    settings.addEndpoint("admin", "admin and metrics address",
-                         "127.0.0.1:" + std::to_string(protocol::AgentAdminPort));
-    settings.addLogging();
 }
 
 coordination::AgentOptions agentOptions(const transport::Settings &settings)
 {
     coordination::AgentOptions options;
     options.host = settings.text("host");
-    options.address = {boost::asio::ip::make_address(settings.text("address")),
-                       static_cast<std::uint16_t>(settings.integer("port"))};
+    options.address = coordination::daemonEndpoint(settings);
     options.service = settings.endpoint("service");
     options.peers = valueOf(parsePeers(settings.text("peers")));
     return options;
@@ -83,22 +63,19 @@
     return options;
 }
 
-int reportBindFailure(const transport::TransportError &error)
-{
-    std::cerr << "persimmon-agent: " << error.message << "\n";
-    return BindExitStatus;
-}
-
 int serve(const transport::Settings &settings)
 {
     transport::Runtime runtime(Threads);
     transport::Metrics metrics;
     coordination::Agent agent(runtime, metrics, agentOptions(settings));
     coordination::AdminServer admin(runtime, metrics, adminOptions(settings, agent));
-    if (const auto bound = admin.listen(settings.endpoint("admin")); !isOk(bound))
-        return reportBindFailure(errorOf(bound));
-    if (const auto started = agent.start(); !isOk(started))
-        return reportBindFailure(errorOf(started));
+    if (!settings.isEmpty("admin")
+        && !coordination::hasStarted("admin", admin.listen(settings.endpoint("admin"))))
+        return StartFailure;
+    if (const auto started = agent.start(); !isOk(started)) {
+        transport::logError("agent", errorOf(started).message);
+        return StartFailure;
+    }
     transport::logInfo("agent", "The agent has started.", {{"host", settings.text("host")}});
     runtime.onTermination([&] {
         transport::logInfo("agent", "The agent ends.");
--- a/main/persimmon_dispatch.cpp
+++ b/main/persimmon_dispatch.cpp
@@ -3,10 +3,6 @@
 #include "protocol/protocol.h"
 #include "transport/transport.h"
 
-#include <boost/asio/ip/address.hpp>
-
-#include <random>
-
 namespace asio = boost::asio;
 using namespace persimmon;
 
@@ -16,32 +12,10 @@
 
 void declareSettings(transport::Settings &settings)
 {
-    settings.addText("host", "name of this host", "");
-    settings.addText("address", "IP number to listen on", "127.0.0.1",
-                     [](const std::string &text) -> std::optional<std::string> {
-                         boost::system::error_code error;
-                         asio::ip::make_address(text, error);
-                         if (!error)
-                             return std::nullopt;
-                         return "an IP number such as 127.0.1.1";
-                     });
-    settings.addInteger("port", "port for frames of entries", protocol::DispatchPort, 0, 65535);
-    settings.addText("failure-domain", "failure domain of this host", "");
-    settings.addEndpoint("agent", "agent of this host", "127.0.0.1:7300");
-    settings.addEndpoint("service", "configuration service, asked when the agent is gone", "");
-    settings.addEndpoint("admin", "admin and metrics HTTP; empty for none", "");
-    settings.addInteger("threads", "threads that run handlers", 2, 1, 256);
+    coordination::addDaemonSettings(settings, protocol::DispatchPort);
+    coordination::addViewSettings(settings);
     settings.addChoice("hedging", "whether hedges are sent", "on", {"on", "off"});
     settings.addChoice("ramp", "whether cold upstreams are ramped", "on", {"on", "off"});
-    settings.addLogging();
-    settings.require("host");
-    settings.require("address");
-}
-
-std::uint64_t randomIncarnation()
-{
-    std::random_device device;
-    return (static_cast<std::uint64_t>(device()) << 32U) | device();
 }
 
 dispatch::DispatchHooks makeHooks(coordination::ViewClient &views)
@@ -65,7 +39,7 @@
     options.program = "persimmon-dispatch";
     options.host = settings.text("host");
     options.view = [&views] { return views.view(); };
-    options.audit = [] { return std::vector<coordination::AuditRow>(); };
+    options.audit = [&views] { return views.audit().rows(); };
     options.fillStatus = [&server, domain = settings.text("failure-domain")](Json::Value &status) {
         status["failure_domain"] = domain;
         status["dispatch"] = server.status();
@@ -77,17 +51,6 @@
     return options;
 }
 
-bool hasStarted(const transport::TransportResult<transport::Endpoint> &bound)
-{
-    if (isOk(bound)) {
-        transport::logInfo("dispatch", "Listening.",
-                           {{"address", transport::formatEndpoint(valueOf(bound))}});
-        return true;
-    }
-    transport::logError("dispatch", errorOf(bound).message);
-    return false;
-}
-
 asio::awaitable<void> shutDown(dispatch::DispatchServer &server, transport::Runtime &runtime)
 {
     co_await server.drain();
@@ -98,23 +61,18 @@
 {
     transport::Runtime runtime(static_cast<int>(settings.integer("threads")));
     transport::Metrics metrics;
-    coordination::ViewClientOptions viewOptions;
-    viewOptions.host = settings.text("host");
-    viewOptions.agent = settings.endpoint("agent");
-    if (!settings.isEmpty("service"))
-        viewOptions.service = settings.endpoint("service");
-    coordination::ViewClient views(runtime, viewOptions);
-    const dispatch::DispatchOptions options{settings.text("host"), randomIncarnation(),
+    coordination::ViewClient views(runtime, coordination::viewClientOptions(settings));
+    const dispatch::DispatchOptions options{settings.text("host"), coordination::makeIncarnation(),
                                             settings.text("hedging") == "on",
                                             settings.text("ramp") == "on"};
     dispatch::DispatchServer server(runtime, metrics, options, makeHooks(views));
     views.onChange([&server](const state::ClusterView &) { server.onViewChanged(); });
     coordination::AdminServer admin(runtime, metrics, makeAdminOptions(settings, views, server));
-    const transport::Endpoint endpoint(asio::ip::make_address(settings.text("address")),
-                                       static_cast<std::uint16_t>(settings.integer("port")));
-    if (!hasStarted(server.listen(endpoint)))
+    if (!coordination::hasStarted("dispatch",
+                                  server.listen(coordination::daemonEndpoint(settings))))
         return StartFailure;
-    if (!settings.isEmpty("admin") && !hasStarted(admin.listen(settings.endpoint("admin"))))
+    if (!settings.isEmpty("admin")
+        && !coordination::hasStarted("admin", admin.listen(settings.endpoint("admin"))))
         return StartFailure;
     views.start();
     runtime.onTermination([&] { runtime.spawn(shutDown(server, runtime)); });
--- /dev/null
+++ b/main/persimmon_entry.cpp
@@ -0,0 +1,194 @@
+#include "coordination/coordination.h"
+#include "dispatch/dispatch.h"
+#include "entry/entry.h"
+
+using namespace persimmon;
+
+namespace {
+
+constexpr int StartFailure = 1;
+constexpr std::chrono::milliseconds DefaultValidity{3000};
+
+void declareSettings(transport::Settings &settings)
+{
+    coordination::addDaemonSettings(settings, protocol::EntryPort);
+    coordination::addViewSettings(settings);
+    settings.addChoice("policy", "how queries reach the upstreams", "managed",
+                       {"managed", "naive"});
+    settings.addMilliseconds("locate-validity", "how long callers may keep a locate answer",
+                             DefaultValidity, std::chrono::milliseconds(100),
+                             std::chrono::minutes(5));
+    settings.addChoice("canary", "whether unseen queries go to one shard first", "on",
+                       {"on", "off"});
+}
+
+/// What a running entry consists of; members are destroyed in reverse order.
+class EntryProgram
+{
+public:
+    explicit EntryProgram(const transport::Settings &settings);
+
+    /// @return exit status of the program.
+    int run();
+
+private:
+    entry::EntryHooks makeHooks();
+    entry::LinkOptions makeLinkOptions();
+    entry::ExecutorOptions makeExecutorOptions() const;
+    entry::EntryServerOptions makeServerOptions() const;
+    coordination::AdminOptions makeAdminOptions();
+    entry::ExecuteQuery makeExecute();
+    boost::asio::awaitable<void> announce();
+    boost::asio::awaitable<void> shutDown();
+
+    const transport::Settings &settings_;
+    transport::Metrics metrics_;
+    transport::Runtime runtime_;
+    const entry::EntryIdentity identity_;
+    coordination::ViewClient views_;
+    transport::Counter &unmatched_;
+    entry::DispatcherLinks links_;
+    dispatch::UpstreamPool pool_;
+    entry::QueryExecutor managed_;
+    entry::NaiveExecutor naive_;
+    entry::EntryServer server_;
+    coordination::AdminServer admin_;
+};
+
+EntryProgram::EntryProgram(const transport::Settings &settings)
+    : settings_(settings),
+      runtime_(static_cast<int>(settings.integer("threads"))),
+      identity_{settings.text("host"), coordination::makeIncarnation(), runtime_.clock().now()},
+      views_(runtime_, coordination::viewClientOptions(settings)),
+      unmatched_(metrics_.counter("persimmon_entry_unmatched_results_total",
+                                  "Results that belong to no open sub-request.")),
+      links_(runtime_, makeLinkOptions()),
+      pool_(runtime_, metrics_),
+      managed_(runtime_, metrics_, links_, makeHooks(), makeExecutorOptions()),
+      naive_(runtime_, pool_, makeHooks(), identity_.incarnation),
+      server_(runtime_, metrics_, makeHooks(), makeExecute(), makeServerOptions()),
+      admin_(runtime_, metrics_, makeAdminOptions())
+{
+}
+
+entry::EntryHooks EntryProgram::makeHooks()
+{
+    entry::EntryHooks hooks;
+    hooks.view = [this] { return views_.view(); };
+    hooks.needsRevalidation = [this] { return views_.needsRevalidation(); };
+    hooks.revalidate = [this](transport::Duration limit) { return views_.revalidate(limit); };
+    hooks.noteRevision = [this](std::uint64_t revision) { views_.noteRevision(revision); };
+    hooks.reportLeaving = [this](std::chrono::milliseconds duration) {
+        views_.reportLeaving(identity_.incarnation, duration);
+    };
+    return hooks;
+}
+
+entry::LinkOptions EntryProgram::makeLinkOptions()
+{
+    entry::LinkOptions options;
+    options.makeHello = [this] {
+        const auto view = views_.view();
+        protocol::Hello hello;
+        hello.host = identity_.host;
+        hello.incarnation = identity_.incarnation;
+        hello.configRevision = view ? view->configRevision : 0;
+        return hello;
+    };
+    options.noteRevision = [this](std::uint64_t revision) { views_.noteRevision(revision); };
+    options.onUnmatched = [this] { unmatched_.add(); };
+    return options;
+}
+
+entry::ExecutorOptions EntryProgram::makeExecutorOptions() const
+{
+    entry::ExecutorOptions options;
+    options.host = identity_.host;
+    options.incarnation = identity_.incarnation;
+    options.canary = settings_.text("canary") == "on";
+    return options;
+}
+
+entry::EntryServerOptions EntryProgram::makeServerOptions() const
+{
+    entry::EntryServerOptions options;
+    options.identity = identity_;
+    options.validFor = settings_.milliseconds("locate-validity");
+    options.entryPort = static_cast<std::uint16_t>(settings_.integer("port"));
+    return options;
+}
+
+coordination::AdminOptions EntryProgram::makeAdminOptions()
+{
+    coordination::AdminOptions options;
+    options.program = "persimmon-entry";
+    options.host = identity_.host;
+    options.view = [this] { return views_.view(); };
+    options.audit = [this] { return views_.audit().rows(); };
+    options.fillStatus = [this](Json::Value &status) {
+        status["failure_domain"] = settings_.text("failure-domain");
+        status["policy"] = settings_.text("policy");
+    };
+    return options;
+}
+
+entry::ExecuteQuery EntryProgram::makeExecute()
+{
+    if (settings_.text("policy") == "naive") {
+        return [this](protocol::QueryRequest request, state::TimePoint arrival,
+                      entry::LateHandler onLate) {
+            return naive_.execute(std::move(request), arrival, std::move(onLate));
+        };
+    }
+    return [this](protocol::QueryRequest request, state::TimePoint arrival,
+                  entry::LateHandler onLate) {
+        return managed_.execute(std::move(request), arrival, std::move(onLate));
+    };
+}
+
+boost::asio::awaitable<void> EntryProgram::announce()
+{
+    const state::EpochClock epochs(identity_.started);
+    while (true) {
+        views_.reportIncarnation(identity_.incarnation, epochs.epochAt(runtime_.clock().now()));
+        const auto next = state::EpochLength
+                          - (runtime_.clock().now() - identity_.started) % state::EpochLength;
+        co_await runtime_.clock().sleep(next);
+    }
+}
+
+boost::asio::awaitable<void> EntryProgram::shutDown()
+{
+    co_await server_.shutdown();
+    runtime_.requestStop();
+}
+
+int EntryProgram::run()
+{
+    if (!coordination::hasStarted("entry", server_.listen(coordination::daemonEndpoint(settings_))))
+        return StartFailure;
+    if (!settings_.isEmpty("admin")
+        && !coordination::hasStarted("admin", admin_.listen(settings_.endpoint("admin"))))
+        return StartFailure;
+    views_.start();
+    runtime_.spawn(announce());
+    runtime_.spawn(server_.watch());
+    runtime_.onTermination([this] { runtime_.spawn(shutDown()); });
+    runtime_.run();
+    transport::logInfo("entry", "The entry has ended.");
+    return 0;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    transport::Settings settings("persimmon-entry",
+                                 "Answers callers: locates entries and runs queries.");
+    declareSettings(settings);
+    if (const auto status = settings.parse(argc, argv))
+        return *status;
+    settings.initLogging();
+    EntryProgram program(settings);
+    return program.run();
+}
--- /dev/null
+++ b/tests/system/test_faults.cpp
@@ -0,0 +1,162 @@
+#include "tests/system/background_load.h"
+
+#include <boost/json.hpp>
+#include <doctest/doctest.h>
+
+#include <csignal>
+#include <thread>
+
+using namespace persimmon::tests;
+using namespace std::chrono_literals;
+
+namespace json = boost::json;
+
+namespace {
+
+json::object search(const std::string &text)
+{
+    return {{"profile", "live-scoresheet"},
+            {"caller", "judge"},
+            {"query", {{"op", "search"}, {"text", text}}}};
+}
+
+std::int64_t counter(Cluster &cluster, const std::string &name)
+{
+    return cluster.standinState().at(name).to_number<std::int64_t>();
+}
+
+/// Sends a query that crashes each upstream that runs it to every entry, several times.
+/// @return number of upstreams lost.
+std::int64_t sendCrashingQuery(Cluster &cluster)
+{
+    const auto before = counter(cluster, "crashes");
+    for (int round = 0; round < 3; ++round) {
+        for (int host = 1; host <= Cluster::HostCount; ++host) {
+            cluster.query(host, {{"profile", "live-scoresheet"},
+                                 {"caller", "judge"},
+                                 {"query", {{"op", "crash"}}}});
+        }
+    }
+    return counter(cluster, "crashes") - before;
+}
+
+} // namespace
+
+// Guards against one query that takes down every upstream, whichever entry it is sent to.
+TEST_CASE("a crashing query that is sent to every entry loses at most two upstreams")
+{
+    Cluster cluster;
+    for (int host = 1; host <= Cluster::HostCount; ++host)
+        cluster.query(host, search("warm-up"));
+    CHECK(sendCrashingQuery(cluster) <= 2);
+    // Other queries go on.
+    CHECK(eventually([&] {
+        const auto answer = cluster.query(1, search("other"));
+        return answer.is_object() && answer.at("outcome").as_string() == "done"
+               && answer.at("coverage").at("complete").as_bool();
+    }));
+}
+
+// Guards against queries that wait for good on connections that went silent.
+TEST_CASE("silent upstream connections are replaced and coverage returns")
+{
+    Cluster cluster;
+    for (int host = 1; host <= Cluster::HostCount; ++host)
+        cluster.query(host, search("warm-up"));
+    cluster.fault({{"kind", "silent"},
+                   {"failure_domain", cluster.failureDomain(1)},
+                   {"connections", "open"}});
+    CHECK(eventually([&] {
+        const auto answer = cluster.query(2, search("after"));
+        return answer.is_object() && answer.at("outcome").as_string() == "done"
+               && answer.at("coverage").at("complete").as_bool();
+    }));
+}
+
+// Guards against a cold upstream that gets more than it can bear, also when its owner is lost
+// during the ramp.
+TEST_CASE("upstreams that turn cold are not overloaded, also when owners change")
+{
+    Cluster cluster;
+    BackgroundLoad load(cluster, search("ramp"), 24);
+    std::this_thread::sleep_for(1s);
+    cluster.fault({{"kind", "cold"}, {"group", "trial-field"}});
+    std::this_thread::sleep_for(500ms);
+    cluster.dispatchProcess(2).kill();
+    cluster.fault({{"kind", "cold"}, {"service", "trial-field-03"}});
+    std::this_thread::sleep_for(4s);
+    load.stop();
+    CHECK(counter(cluster, "cold_overloads") == 0);
+    CHECK(load.successes() > 100);
+}
+
+// Guards against answers that mix snapshots and against coverage that is stated wrongly, while
+// versions roll, data moves and replicas lag.
+TEST_CASE("answers stay within one snapshot while versions roll and data moves")
+{
+    Cluster cluster;
+    std::atomic<bool> stop = false;
+    std::thread publisher([&] {
+        for (int i = 0; !stop; ++i) {
+            if (i % 2 == 0) {
+                cluster.fault({{"kind", "publish"}, {"group", "trial-field"}, {"keep_ms", 300}});
+            } else {
+                json::array services;
+                for (int service = 1; service <= 9; ++service)
+                    services.push_back(json::value("trial-field-0" + std::to_string(service)));
+                cluster.fault({{"kind", "repartition"},
+                               {"group", "trial-field"},
+                               {"services", services},
+                               {"keep_ms", 300}});
+            }
+            cluster.fault({{"kind", "replica_lag"},
+                           {"upstream", "trial-field-03-a"},
+                           {"on", i % 3 == 0}});
+            std::this_thread::sleep_for(400ms);
+        }
+    });
+    std::string token;
+    std::uint64_t newest = 0;
+    int answered = 0;
+    for (int i = 0; i < 300; ++i) {
+        auto body = search("roll-" + std::to_string(i));
+        if (!token.empty())
+            body["snapshot_token"] = token;
+        const auto answer = cluster.query(1 + i % Cluster::HostCount, body);
+        if (!answer.is_object() || answer.at("outcome").as_string() != "done")
+            continue;
+        ++answered;
+        const auto snapshot = answer.at("snapshot").to_number<std::uint64_t>();
+        CHECK(snapshot >= newest);
+        newest = snapshot;
+        token = answer.at("snapshot_token").as_string();
+        std::set<std::string> shards;
+        for (const auto &item : answer.at("items").as_array()) {
+            CHECK(item.at("snapshot").to_number<std::uint64_t>() == snapshot);
+            shards.insert(std::string(item.at("shard").as_string()));
+        }
+        CHECK(shards.size() == answer.at("coverage").at("answered").to_number<std::size_t>());
+    }
+    stop = true;
+    publisher.join();
+    MESSAGE("answered " << answered << " of 300, newest snapshot " << newest);
+    CHECK(answered > 150);
+}
+
+// Guards against lookups that come back empty because a shard did not answer.
+TEST_CASE("a lookup whose shard is missing is incomplete, never empty")
+{
+    Cluster cluster;
+    cluster.fault({{"kind", "crash"}, {"group", "secretary"}, {"down_ms", 3000}});
+    for (int i = 0; i < 20; ++i) {
+        const auto answer =
+                cluster.query(1 + i % Cluster::HostCount, {{"profile", "handler-lookup"},
+                                                           {"caller", "secretary"},
+                                                           {"key", "handler-" + std::to_string(i)},
+                                                           {"deadline_ms", 300},
+                                                           {"query", {{"op", "lookup"}}}});
+        REQUIRE(answer.is_object());
+        if (answer.at("outcome").as_string() == "done")
+            CHECK_FALSE(answer.at("items").as_array().empty());
+    }
+}
--- /dev/null
+++ b/tests/system/test_membership.cpp
@@ -0,0 +1,155 @@
+#include "tests/system/background_load.h"
+
+#include <boost/json.hpp>
+#include <doctest/doctest.h>
+
+#include <csignal>
+#include <thread>
+
+using namespace persimmon::tests;
+using namespace std::chrono_literals;
+
+namespace json = boost::json;
+
+namespace {
+
+/// Time after which an edit must be in force everywhere and new work must have ended: the exchange
+/// takes about 2 s, an entry's handed-out validity 3 s and its margin 2 s.
+constexpr std::chrono::milliseconds OutOfServiceLimit{8000};
+
+const json::object Scoresheet{
+        {"profile", "live-scoresheet"}, {"query", {{"op", "search"}}}, {"deadline_ms", 2000}};
+
+const json::object Listing{{"profile", "matinee-listing"}, {"query", {{"op", "search"}}}};
+
+std::int64_t lastRequestAge(Cluster &cluster, const std::string &domain)
+{
+    const auto state = cluster.standinState();
+    const auto &age = state.at("failure_domains").at(domain).at("last_request_age_ms");
+    return age.is_null() ? std::int64_t{1} << 40 : age.to_number<std::int64_t>();
+}
+
+void setOut(Cluster &cluster, const json::array &domains)
+{
+    cluster.fault({{"kind", "config_set"}, {"key", "out/domains"}, {"value", domains}});
+}
+
+void report(BackgroundLoad &load)
+{
+    for (const auto &[name, number] : load.outcomes())
+        MESSAGE(name << ": " << number);
+}
+
+} // namespace
+
+// Guards against work for a failure domain that operators have taken out, against refusals of a
+// top-priority profile meanwhile, and against a failure domain that stays unused after its return.
+TEST_CASE("a failure domain leaves and returns without a refused request")
+{
+    Cluster cluster;
+    const auto domain = cluster.failureDomain(3);
+    BackgroundLoad load(cluster, Scoresheet, 12);
+    std::this_thread::sleep_for(1s);
+    setOut(cluster, {domain});
+    std::this_thread::sleep_for(OutOfServiceLimit + 1s);
+    CHECK(lastRequestAge(cluster, domain) >= 1000);
+    setOut(cluster, {});
+    CHECK(eventually([&] { return lastRequestAge(cluster, domain) < 500; }));
+    std::this_thread::sleep_for(2s);
+    load.stop();
+    report(load);
+    CHECK(load.failures() == 0);
+    CHECK(load.successes() > 100);
+}
+
+// Guards against a process that was paused during the edit and goes on with its old view.
+TEST_CASE("a paused process sends nothing to a failure domain that left meanwhile")
+{
+    Cluster cluster;
+    const auto domain = cluster.failureDomain(3);
+    BackgroundLoad load(cluster, Scoresheet, 6);
+    std::this_thread::sleep_for(1s);
+    for (const int host : {1, 2}) {
+        cluster.agentProcess(host).signal(SIGSTOP);
+        cluster.dispatchProcess(host).signal(SIGSTOP);
+        cluster.entryProcess(host).signal(SIGSTOP);
+    }
+    setOut(cluster, {domain});
+    std::this_thread::sleep_for(OutOfServiceLimit);
+    for (const int host : {1, 2}) {
+        cluster.entryProcess(host).signal(SIGCONT);
+        cluster.dispatchProcess(host).signal(SIGCONT);
+        cluster.agentProcess(host).signal(SIGCONT);
+    }
+    std::this_thread::sleep_for(3s);
+    load.stop();
+    report(load);
+    CHECK(lastRequestAge(cluster, domain) >= 3000);
+    CHECK(load.successes() > 50);
+}
+
+// Guards against an upstream that is leaving and still gets new work.
+TEST_CASE("a leaving upstream gets no new work")
+{
+    Cluster cluster;
+    const auto all = cluster.standinState();
+    const std::string name = "trial-field-07-a";
+    BackgroundLoad load(cluster, Scoresheet, 6);
+    CHECK(eventually([&] {
+        const auto &row = cluster.standinState().at("upstreams").at(name);
+        return row.at("executions").to_number<int>() > 0;
+    }));
+    const auto hosts = cluster.hostRow(name);
+    auto leaving = hosts.as_object();
+    leaving["state"] = "leaving";
+    cluster.fault({{"kind", "host_put"}, {"host", leaving}});
+    std::this_thread::sleep_for(OutOfServiceLimit + 1s);
+    const auto state = cluster.standinState();
+    const auto &row = state.at("upstreams").at(name);
+    CHECK(row.at("last_request_age_ms").to_number<int>() >= 1000);
+    load.stop();
+    report(load);
+    CHECK(load.failures() == 0);
+}
+
+// Guards against a rolling restart that cuts or refuses a request.
+TEST_CASE("a rolling restart of all hosts fails no request")
+{
+    Cluster cluster({.deployment = "footlights"});
+    BackgroundLoad load(cluster, Listing, 12);
+    std::this_thread::sleep_for(1s);
+    for (int host = 1; host <= Cluster::HostCount; ++host) {
+        cluster.entryProcess(host).signal(SIGTERM);
+        CHECK(cluster.entryProcess(host).waitForExit(20s));
+        cluster.dispatchProcess(host).signal(SIGTERM);
+        CHECK(cluster.dispatchProcess(host).waitForExit(20s));
+        cluster.agentProcess(host).signal(SIGTERM);
+        CHECK(cluster.agentProcess(host).waitForExit(20s));
+        cluster.startAgent(host);
+        cluster.startDispatch(host);
+        cluster.startEntry(host);
+        CHECK(cluster.waitUntilReady(host));
+    }
+    load.stop();
+    report(load);
+    CHECK(load.failures() == 0);
+    CHECK(load.successes() > 100);
+}
+
+// Guards against one lost process that takes the others with it.
+TEST_CASE("the loss of any one process leaves the others serving")
+{
+    Cluster cluster;
+    cluster.agentProcess(1).kill();
+    cluster.dispatchProcess(2).kill();
+    cluster.entryProcess(3).kill();
+    std::this_thread::sleep_for(4s);
+    for (const int host : {1, 2, 4, 5, 6}) {
+        const auto answer = cluster.query(host, {{"profile", "live-scoresheet"},
+                                                 {"caller", "judge"},
+                                                 {"query", {{"op", "search"}}}});
+        REQUIRE(answer.is_object());
+        CHECK(answer.at("outcome").as_string() == "done");
+        CHECK(answer.at("coverage").at("complete").as_bool());
+    }
+}
