Restart entries without a failed request and stop naming killed ones

Cause: in a rolling restart 19 connections broke, since an entry closed its listener after valid_ms although others still named it until they had heard of its shutdown; 10 requests got stale_view, since a restarted entry announced its incarnation before it had a view. The announcement of the shutdown also expired before a slow restart was over. Ruled out: the dispatcher's shutdown, whose refusals are retried elsewhere. A killed entry was named until the host list said so. Change: an entry serves valid_ms plus 2 s, refuses for 500 ms, then closes; it announces itself once its view is complete; the announced shutdown is kept for 5 minutes; EntryProber tests the entries that are named.

--- /dev/null
+++ b/entry/entry_prober.cpp
@@ -0,0 +1,95 @@
+#include "entry/entry_prober.h"
+
+#include <algorithm>
+
+namespace asio = boost::asio;
+
+namespace persimmon::entry {
+
+namespace {
+
+constexpr std::chrono::milliseconds ProbeInterval{500};
+constexpr std::chrono::milliseconds ProbeTimeout{400};
+
+/// A host is tested as long as it was considered within this time.
+constexpr std::chrono::seconds Interest{10};
+
+/// One lost packet or one slow answer must not remove an entry.
+constexpr int FailuresUntilUnreachable = 2;
+
+/// Hosts tested in one round at most, which bounds the load when thousands of entries exist.
+constexpr std::size_t MaxProbesPerRound = 16;
+
+} // namespace
+
+EntryProber::EntryProber(transport::Runtime &runtime, EntryHooks hooks, std::string self,
+                         std::uint16_t entryPort)
+    : runtime_(runtime),
+      hooks_(std::move(hooks)),
+      self_(std::move(self)),
+      entryPort_(entryPort)
+{
+}
+
+bool EntryProber::isReachable(std::string_view host)
+{
+    if (host == self_)
+        return true;
+    const std::lock_guard lock(mutex_);
+    auto &probe = probes_[std::string(host)];
+    probe.lastAsked = runtime_.clock().now();
+    return probe.failures < FailuresUntilUnreachable;
+}
+
+asio::awaitable<void> EntryProber::watch()
+{
+    while (true) {
+        co_await runtime_.clock().sleep(ProbeInterval);
+        for (auto &host : takeDueHosts())
+            runtime_.spawn(probe(std::move(host)));
+    }
+}
+
+std::vector<std::string> EntryProber::takeDueHosts()
+{
+    const auto now = runtime_.clock().now();
+    const std::lock_guard lock(mutex_);
+    std::erase_if(probes_,
+                  [&](const auto &entry) { return now - entry.second.lastAsked > Interest; });
+    std::vector<std::string> hosts;
+    for (const auto &[host, state] : probes_)
+        hosts.push_back(host);
+    std::sort(hosts.begin(), hosts.end(), [this](const auto &left, const auto &right) {
+        return probes_[left].lastTested < probes_[right].lastTested;
+    });
+    hosts.resize(std::min(hosts.size(), MaxProbesPerRound));
+    for (const auto &host : hosts)
+        probes_[host].lastTested = now;
+    return hosts;
+}
+
+asio::awaitable<void> EntryProber::probe(std::string host)
+{
+    const auto view = hooks_.view();
+    if (!view || !view->entryHosts.contains(host))
+        co_return;
+    const auto endpoint = transport::parseEndpoint(view->entryHosts.at(host).address + ":"
+                                                   + std::to_string(entryPort_));
+    if (!isOk(endpoint))
+        co_return;
+    transport::HttpRequest request("GET", "/v1/health");
+    const auto response = co_await transport::fetchOnce(runtime_, valueOf(endpoint),
+                                                        std::move(request), ProbeTimeout);
+    record(host, isOk(response));
+}
+
+void EntryProber::record(const std::string &host, bool answered)
+{
+    const std::lock_guard lock(mutex_);
+    const auto found = probes_.find(host);
+    if (found == probes_.end())
+        return;
+    found->second.failures = answered ? 0 : found->second.failures + 1;
+}
+
+} // namespace persimmon::entry
--- a/entry/entry_server.cpp
+++ b/entry/entry_server.cpp
@@ -25,6 +25,14 @@
 /// it covers the propagation of the change to the entries that give these answers.
 constexpr std::chrono::milliseconds OutOfServiceMargin{2000};
 
+/// How long an announced shutdown is remembered if the host never comes back; a restarted entry has
+/// a new incarnation, which ends it earlier.
+constexpr std::chrono::minutes LeavingDuration{5};
+
+/// Time in which callers with an outdated address get a refusal with a better one, before the
+/// listener closes.
+constexpr std::chrono::milliseconds RefusalTime{500};
+
 HttpResponse respond(const QueryAnswer &answer)
 {
     return {protocol::httpStatus(answer), protocol::encodeQueryAnswer(answer)};
@@ -61,7 +69,8 @@
       hooks_(std::move(hooks)),
       execute_(std::move(execute)),
       options_(std::move(options)),
-      locator_(options_.identity, options_.validFor, options_.entryPort),
+      prober_(runtime, hooks_, options_.identity.host, options_.entryPort),
+      locator_(options_.identity, options_.validFor, options_.entryPort, prober_),
       nonRepeatable_(runtime, options_.identity, hooks_, execute_, options_.entryPort),
       server_(
               runtime,
@@ -79,10 +88,12 @@
 asio::awaitable<void> EntryServer::shutdown()
 {
     transport::logInfo("entry", "The graceful shutdown begins.");
-    hooks_.reportLeaving(options_.validFor + OutOfServiceMargin);
-    co_await runtime_.clock().sleep(options_.validFor);
+    hooks_.reportLeaving(LeavingDuration);
+    // Other entries still name this one until they learn that it leaves.
+    co_await runtime_.clock().sleep(options_.validFor + OutOfServiceMargin);
     stopping_ = true;
     refusing_ = true;
+    co_await runtime_.clock().sleep(RefusalTime);
     co_await server_.drain();
     transport::logInfo("entry", "No request is running.");
 }
@@ -121,6 +132,8 @@
     const auto path = request.target.substr(0, request.target.find('?'));
     if (request.method == "GET" && path == "/v1/locate")
         co_return handleLocate(request.target);
+    if (request.method == "GET" && path == "/v1/health")
+        co_return HttpResponse(200, "{}");
     if (request.method != "POST" || path != "/v1/query")
         co_return respond(protocol::makeRefusal(CallerError::NotFound, "no such resource"));
     const auto start = runtime_.clock().now();
--- a/entry/entry_server.h
+++ b/entry/entry_server.h
@@ -34,6 +34,9 @@
     /// Watches epochs and whether this host is in service; runs for the life of the process.
     boost::asio::awaitable<void> watch();
 
+    /// Tests the entries that locate answers name; runs for the life of the process.
+    boost::asio::awaitable<void> watchEntries() { return prober_.watch(); }
+
 private:
     boost::asio::awaitable<transport::HttpResponse> handle(transport::HttpRequest request);
     transport::HttpResponse handleLocate(const std::string &target);
@@ -51,6 +54,7 @@
     const EntryHooks hooks_;
     const ExecuteQuery execute_;
     const EntryServerOptions options_;
+    EntryProber prober_;
     const Locator locator_;
     NonRepeatableExecutor nonRepeatable_;
     std::atomic<bool> refusing_ = false;
--- a/entry/locator.cpp
+++ b/entry/locator.cpp
@@ -3,11 +3,12 @@
 namespace persimmon::entry {
 
 Locator::Locator(EntryIdentity identity, std::chrono::milliseconds validFor,
-                 std::uint16_t entryPort)
+                 std::uint16_t entryPort, EntryProber &prober)
     : identity_(std::move(identity)),
       validFor_(validFor),
       entryPort_(entryPort),
-      epochs_(identity_.started)
+      epochs_(identity_.started),
+      prober_(prober)
 {
 }
 
@@ -16,7 +17,7 @@
 {
     for (const auto &host : state::rankEntries(view, caller)) {
         const auto home = homeOf(view, host, now);
-        if (!home)
+        if (!home || !prober_.isReachable(host))
             continue;
         const auto &address = view.entryHosts.at(host).address;
         return protocol::LocateAnswer{address + ":" + std::to_string(entryPort_), validFor_,
--- a/entry/locator.h
+++ b/entry/locator.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "entry/entry_hooks.h"
+#include "entry/entry_prober.h"
 
 #include <optional>
 
@@ -12,9 +12,12 @@
 public:
     /// @param validFor how long a caller may keep an answer.
     /// @param entryPort port of all entries.
-    Locator(EntryIdentity identity, std::chrono::milliseconds validFor, std::uint16_t entryPort);
+    /// @param prober knows which entries answer; must outlive the locator.
+    Locator(EntryIdentity identity, std::chrono::milliseconds validFor, std::uint16_t entryPort,
+            EntryProber &prober);
 
-    /// @return the best available entry whose incarnation is known, or nothing when there is none.
+    /// @return the best available entry that answers and whose incarnation is known, or nothing
+    ///         when there is none.
     std::optional<protocol::LocateAnswer>
     locate(const state::ClusterView &view, std::string_view caller, state::TimePoint now) const;
 
@@ -28,6 +31,7 @@
     const std::chrono::milliseconds validFor_;
     const std::uint16_t entryPort_;
     const state::EpochClock epochs_;
+    EntryProber &prober_;
 };
 
 } // namespace persimmon::entry
--- a/main/persimmon_entry.cpp
+++ b/main/persimmon_entry.cpp
@@ -8,6 +8,7 @@
 
 constexpr int StartFailure = 1;
 constexpr std::chrono::milliseconds DefaultValidity{3000};
+constexpr std::chrono::milliseconds ReadyPollInterval{50};
 
 void declareSettings(transport::Settings &settings)
 {
@@ -148,6 +149,9 @@
 
 boost::asio::awaitable<void> EntryProgram::announce()
 {
+    // Other entries name this one as soon as they know its incarnation, so it must have a view.
+    while (!views_.isReady())
+        co_await runtime_.clock().sleep(ReadyPollInterval);
     const state::EpochClock epochs(identity_.started);
     while (true) {
         views_.reportIncarnation(identity_.incarnation, epochs.epochAt(runtime_.clock().now()));
@@ -173,6 +177,7 @@
     views_.start();
     runtime_.spawn(announce());
     runtime_.spawn(server_.watch());
+    runtime_.spawn(server_.watchEntries());
     runtime_.onTermination([this] { runtime_.spawn(shutDown()); });
     runtime_.run();
     transport::logInfo("entry", "The entry has ended.");
--- a/tests/system/test_membership.cpp
+++ b/tests/system/test_membership.cpp
@@ -134,6 +134,25 @@
     CHECK(load.successes() > 100);
 }
 
+// Guards against locate answers that name a killed entry until the lagging host list says so.
+TEST_CASE("a killed entry is no longer named")
+{
+    Cluster cluster;
+    const auto namesKilled = [&] {
+        for (int caller = 0; caller < 30; ++caller) {
+            const auto answer = cluster.locate(1, "caller-" + std::to_string(caller));
+            if (answer.at("address").as_string() == cluster.entry(3))
+                return true;
+        }
+        return false;
+    };
+    CHECK(eventually(namesKilled));
+    cluster.entryProcess(3).kill();
+    CHECK(eventually([&] { return !namesKilled(); }, 5s));
+    cluster.startEntry(3);
+    CHECK(eventually(namesKilled));
+}
+
 // Guards against one lost process that takes the others with it.
 TEST_CASE("the loss of any one process leaves the others serving")
 {
