Record refusals of non-repeatable requests as finished

Cause: IdempotencyStore::begin() left no record of an id that the home refused, so a delayed duplicate of the refused request could still run after its caller was told "not run" and had made a new id for the same payment.

Change: begin() takes the refusal and stores it as the finished outcome. Later duplicates get it replayed, without the locate answer, which is valid for a short time only. A full store cannot record; its refusal says so. The server test now also covers deadline_over and its duplicate.

Ruled out: refusing ids of a future epoch for good. No locate answer has handed out such an id.

--- a/entry/non_repeatable_executor.cpp
+++ b/entry/non_repeatable_executor.cpp
@@ -63,7 +63,11 @@
             join->timer.cancel();
         });
     };
-    auto decision = store_->begin(id->home.epoch, id->unique, epoch(), waiter, !refusal);
+    auto recorded = refusal;
+    // A locate answer is valid for a short time only, so it is not replayed.
+    if (recorded)
+        recorded->home.reset();
+    auto decision = store_->begin(id->home.epoch, id->unique, epoch(), waiter, recorded);
     switch (decision.admission) {
     case Admission::Start:
         co_return co_await start(std::move(request), *id, arrival);
@@ -85,7 +89,9 @@
     case Admission::Full:
         break;
     }
-    co_return protocol::makeRefusal(CallerError::Overloaded, "the home keeps no more request ids");
+    co_return protocol::makeRefusal(CallerError::Overloaded,
+                                    "the home keeps no more request ids and has not "
+                                    "recorded this one; use the same id again");
 }
 
 asio::awaitable<QueryAnswer> NonRepeatableExecutor::start(protocol::QueryRequest request,
--- a/entry/non_repeatable_executor.h
+++ b/entry/non_repeatable_executor.h
@@ -16,8 +16,9 @@
                           ExecuteQuery execute, std::uint16_t entryPort);
 
     /// @param deadline time until which the caller waits.
-    /// @param refusal answer to a request that this home has not started; requests that it has
-    ///        started are joined or replayed even then, since "not run" would be false for them.
+    /// @param refusal answer to a request that this home has not started; it spends the id.
+    ///        Requests that the home has started are joined or replayed even then, since "not run"
+    ///        would be false for them.
     boost::asio::awaitable<protocol::QueryAnswer>
     execute(protocol::QueryRequest request, state::TimePoint arrival, state::TimePoint deadline,
             std::optional<protocol::QueryAnswer> refusal);
--- a/state/idempotency_store.cpp
+++ b/state/idempotency_store.cpp
@@ -16,7 +16,8 @@
 }
 
 AdmissionResult IdempotencyStore::begin(std::uint64_t epoch, std::string_view unique,
-                                        std::uint64_t current, Waiter waiter, bool allowNew)
+                                        std::uint64_t current, Waiter waiter,
+                                        const std::optional<QueryAnswer> &refusal)
 {
     if (epoch > current)
         return {Admission::Future, {}};
@@ -25,11 +26,12 @@
     // Another thread may have dropped the epoch after the caller read the clock.
     if (epoch < part.oldest || epoch + PreviousEpochs < current)
         return {Admission::Expired, {}};
-    return beginLocked(part.epochs[epoch], unique, std::move(waiter), allowNew);
+    return beginLocked(part.epochs[epoch], unique, std::move(waiter), refusal);
 }
 
 AdmissionResult IdempotencyStore::beginLocked(EpochRecords &records, std::string_view unique,
-                                              Waiter waiter, bool allowNew)
+                                              Waiter waiter,
+                                              const std::optional<QueryAnswer> &refusal)
 {
     const auto found = records.find(std::string(unique));
     if (found != records.end()) {
@@ -38,12 +40,14 @@
         found->second.waiters.push_back(std::move(waiter));
         return {Admission::Join, {}};
     }
-    if (!allowNew)
-        return {Admission::Refused, {}};
     if (size_.fetch_add(1) >= capacity_) {
         size_.fetch_sub(1);
         return {Admission::Full, {}};
     }
+    if (refusal) {
+        records.emplace(unique, Record{true, *refusal, {}});
+        return {Admission::Refused, {}};
+    }
     records.emplace(unique, Record{});
     return {Admission::Start, {}};
 }
--- a/state/idempotency_store.h
+++ b/state/idempotency_store.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -15,7 +16,8 @@
 
 namespace persimmon::state {
 
-/// What an entry must do with a non-repeatable request of its own incarnation.
+/// What an entry must do with a non-repeatable request of its own incarnation. Refused answers with
+/// the refusal, which the store has recorded; after Full nothing is recorded.
 enum class Admission { Start, Join, Replay, Expired, Future, Full, Refused };
 
 /// Decision on a request id.
@@ -26,7 +28,7 @@
     protocol::QueryAnswer answer;
 };
 
-/// Request ids that this incarnation has started, by epoch. Thread-safe.
+/// Request ids that this incarnation has started or refused, by epoch. Thread-safe.
 class IdempotencyStore
 {
 public:
@@ -41,9 +43,13 @@
     /// @param unique unique part of the id.
     /// @param current epoch by the home's clock.
     /// @param waiter kept and called once, only with Join.
-    /// @param allowNew false refuses an id without a record, and still finds one that has started.
+    /// @param refusal answer to an id without a record. It is stored as the finished outcome, so
+    /// that
+    ///        a delayed duplicate cannot run after its caller was told "not run". An id that has
+    ///        started is still found.
     AdmissionResult begin(std::uint64_t epoch, std::string_view unique, std::uint64_t current,
-                          Waiter waiter, bool allowNew = true);
+                          Waiter waiter,
+                          const std::optional<protocol::QueryAnswer> &refusal = std::nullopt);
 
     /// Stores the outcome of a started id and answers the joined duplicates. A later call changes
     /// only an unknown outcome, and only into done.
@@ -77,7 +83,7 @@
 
     Part &partOf(std::string_view unique);
     AdmissionResult beginLocked(EpochRecords &records, std::string_view unique, Waiter waiter,
-                                bool allowNew);
+                                const std::optional<protocol::QueryAnswer> &refusal);
     std::vector<Waiter> dropLocked(Part &part, std::uint64_t oldest);
 
     const std::size_t capacity_;
--- a/tests/entry/test_entry_server.cpp
+++ b/tests/entry/test_entry_server.cpp
@@ -99,6 +99,12 @@
                         CallerError::RequestIdInvalid);
     server.checkRefused(makeBody("fee", R"(,"request_id":"h3.4fa1.0:a")"),
                         CallerError::MalformedBody);
+    server.checkRefused(makeBody("sheet", R"(,"deadline_ms":0)"), CallerError::DeadlineOver);
+    server.checkRefused(makeBody("fee", R"(,"key":"k","request_id":"h3.4fa1.0:b","deadline_ms":0)"),
+                        CallerError::DeadlineOver);
+    // A delayed duplicate of the refused request, this time with time left.
+    server.checkRefused(makeBody("fee", R"(,"key":"k","request_id":"h3.4fa1.0:b")"),
+                        CallerError::DeadlineOver);
 }
 
 // Guards against a second run of one id, and against "not run" for an id of a home that restarted.
--- a/tests/state/test_idempotency_store.cpp
+++ b/tests/state/test_idempotency_store.cpp
@@ -33,7 +33,7 @@
 {
     std::map<Key, std::optional<Outcome>> records;
 
-    Admission begin(const Key &key, std::uint64_t current, std::size_t capacity)
+    Admission begin(const Key &key, std::uint64_t current, std::size_t capacity, bool refuse)
     {
         if (key.first > current)
             return Admission::Future;
@@ -43,6 +43,10 @@
             return found->second ? Admission::Replay : Admission::Join;
         if (count(current) >= capacity)
             return Admission::Full;
+        if (refuse) {
+            records.emplace(key, Outcome::NotRun);
+            return Admission::Refused;
+        }
         records.emplace(key, std::nullopt);
         return Admission::Start;
     }
@@ -86,10 +90,15 @@
 
     void begin(const Key &key)
     {
-        const auto result = store->begin(key.first, key.second, current,
-                                         [this](const QueryAnswer &) { ++answered; });
-        REQUIRE(result.admission == naive.begin(key, current, Capacity));
-        if (result.admission == Admission::Start)
+        const bool refuse = random() % 3 == 0;
+        const auto refusal =
+                refuse ? std::optional(makeAnswer(Outcome::NotRun)) : std::optional<QueryAnswer>();
+        const auto result = store->begin(
+                key.first, key.second, current, [this](const QueryAnswer &) { ++answered; },
+                refusal);
+        REQUIRE(result.admission == naive.begin(key, current, Capacity, refuse));
+        // A refused id is spent: it never starts afterwards.
+        if (result.admission == Admission::Start || result.admission == Admission::Refused)
             REQUIRE(started.emplace(incarnation, key).second);
         joined += result.admission == Admission::Join ? 1 : 0;
         if (result.admission == Admission::Replay) {
@@ -141,8 +150,8 @@
 
 } // namespace
 
-// Guards against a second start of one id, "not run" for an id that ran, records that outlive
-// their epoch, and duplicates that never get an answer.
+// Guards against a second start of one id, a start after a refusal, "not run" for an id that ran,
+// records that outlive their epoch, and duplicates that never get an answer.
 TEST_CASE("the idempotency store agrees with a naive store on random schedules")
 {
     std::printf("idempotency store: %d schedules, seed %u\n", Schedules, Seed);
