Write JSON numbers in decimal form

Cause: Boost.JSON writes every double with an exponent, so answers held "fraction":1E0 and "elapsed_ms":1.23E1.

Change: the protocol codecs write JSON through json_writer, which writes doubles from 1e-7 to 1e17 in decimal form and keeps Boost.JSON's writer for values without doubles.

Ruled out: rounding to a fixed number of digits, which changes values.

--- a/protocol/caller_codec.cpp
+++ b/protocol/caller_codec.cpp
@@ -1,6 +1,7 @@
 #include "protocol/caller_codec.h"
 
 #include "protocol/json_reader.h"
+#include "protocol/json_writer.h"
 
 #include <cmath>
 
@@ -149,7 +150,7 @@
         body["snapshot_token"] = *request.snapshotToken;
     if (request.requestId)
         body["request_id"] = *request.requestId;
-    return withRawMember(json::serialize(body), "query", request.query, "{}");
+    return withRawMember(serializeJson(body), "query", request.query, "{}");
 }
 
 std::string encodeQueryAnswer(const QueryAnswer &answer)
@@ -173,7 +174,7 @@
         body["home"] = locateObject(*answer.home);
     if (answer.retryAfter)
         body["retry_after_ms"] = millisecondCount(*answer.retryAfter);
-    auto text = json::serialize(body);
+    auto text = serializeJson(body);
     if (answer.outcome != Outcome::Done)
         return text;
     return withRawMember(std::move(text), "items", answer.items, "[]");
@@ -186,7 +187,7 @@
 
 std::string encodeLocateAnswer(const LocateAnswer &answer)
 {
-    return json::serialize(locateObject(answer));
+    return serializeJson(locateObject(answer));
 }
 
 ProtocolResult<LocateAnswer> decodeLocateAnswer(std::string_view body)
--- a/protocol/config_format.cpp
+++ b/protocol/config_format.cpp
@@ -1,4 +1,5 @@
 #include "protocol/config_documents.h"
+#include "protocol/json_writer.h"
 
 #include <boost/json.hpp>
 
@@ -58,8 +59,7 @@
 
 std::string formatConfigDocument(const ConfigDocument &document)
 {
-    return json::serialize(
-            std::visit([](const auto &content) { return toJson(content); }, document));
+    return serializeJson(std::visit([](const auto &content) { return toJson(content); }, document));
 }
 
 } // namespace persimmon::protocol
--- a/protocol/frame_json_codec.cpp
+++ b/protocol/frame_json_codec.cpp
@@ -1,6 +1,7 @@
 #include "protocol/frame_codec.h"
 #include "protocol/frame_limits.h"
 #include "protocol/json_reader.h"
+#include "protocol/json_writer.h"
 
 namespace json = boost::json;
 
@@ -140,7 +141,7 @@
 
 std::string encodeFrameJson(const FrameMessage &message)
 {
-    return json::serialize(
+    return serializeJson(
             std::visit([](const auto &content) { return toObject(content); }, message));
 }
 
--- a/protocol/json_reader.cpp
+++ b/protocol/json_reader.cpp
@@ -1,9 +1,10 @@
 #include "protocol/json_reader.h"
 
+#include "protocol/json_writer.h"
+
 #include <algorithm>
 #include <cmath>
 #include <sstream>
-#include <vector>
 
 namespace json = boost::json;
 
@@ -18,7 +19,7 @@
 
 std::string shortText(const json::value &value)
 {
-    auto text = json::serialize(value);
+    auto text = serializeJson(value);
     if (text.size() <= FaultValueLimit)
         return text;
     auto end = FaultValueLimit;
@@ -164,7 +165,7 @@
 std::string JsonReader::rawText(json::kind kind) const
 {
     if (value_.kind() == kind)
-        return json::serialize(value_);
+        return serializeJson(value_);
     const auto name = json::to_string(kind);
     fail(ProtocolErrorCode::InvalidValue,
          "must be of type " + std::string(name.data(), name.size()));
@@ -177,7 +178,7 @@
     if (!value_.is_object())
         fail(ProtocolErrorCode::InvalidValue, "must be an object");
     else
-        appendCanonicalJson(text, value_);
+        appendJson(text, value_, MemberOrder::ByName);
     return text;
 }
 
@@ -216,37 +217,6 @@
     return std::nullopt;
 }
 
-void appendCanonicalJson(std::string &text, const json::value &value)
-{
-    if (const auto *array = value.if_array()) {
-        text += '[';
-        for (std::size_t index = 0; index < array->size(); ++index) {
-            text += index == 0 ? "" : ",";
-            appendCanonicalJson(text, (*array)[index]);
-        }
-        text += ']';
-        return;
-    }
-    const auto *object = value.if_object();
-    if (object == nullptr) {
-        text += json::serialize(value);
-        return;
-    }
-    std::vector<const json::key_value_pair *> members;
-    for (const auto &member : *object)
-        members.push_back(&member);
-    std::sort(members.begin(), members.end(),
-              [](const auto *left, const auto *right) { return left->key() < right->key(); });
-    text += '{';
-    for (std::size_t index = 0; index < members.size(); ++index) {
-        text += index == 0 ? "" : ",";
-        text += json::serialize(json::string(members[index]->key()));
-        text += ':';
-        appendCanonicalJson(text, members[index]->value());
-    }
-    text += '}';
-}
-
 std::int64_t millisecondCount(std::chrono::milliseconds duration)
 {
     return std::max<std::int64_t>(duration.count(), 0);
--- a/protocol/json_reader.h
+++ b/protocol/json_reader.h
@@ -109,9 +109,6 @@
 std::optional<boost::json::value> parseJson(std::string_view text, std::optional<JsonFault> &fault,
                                             std::size_t depth = DefaultJsonDepth);
 
-/// Appends the JSON text of @p value with the members of all objects sorted by name.
-void appendCanonicalJson(std::string &text, const boost::json::value &value);
-
 /// @return the whole milliseconds of @p duration for a message; 0 when it is negative, since a
 ///         negative number is not allowed there.
 std::int64_t millisecondCount(std::chrono::milliseconds duration);
--- a/protocol/platform_codec.cpp
+++ b/protocol/platform_codec.cpp
@@ -1,4 +1,5 @@
 #include "protocol/platform_codec.h"
+#include "protocol/json_writer.h"
 
 #include "protocol/host_record_json.h"
 
@@ -19,7 +20,7 @@
     entry.revision = reader.member("revision").integer();
     const auto value = reader.member("value");
     if (!value.value().is_null())
-        entry.value = json::serialize(value.value());
+        entry.value = serializeJson(value.value());
     return entry;
 }
 
@@ -49,10 +50,10 @@
     for (const auto &entry : reply.entries) {
         const json::object row{{"key", entry.key}, {"revision", entry.revision}};
         entries += entries.empty() ? "[" : ",";
-        entries += withRawMember(json::serialize(row), "value", entry.value.value_or(""), "null");
+        entries += withRawMember(serializeJson(row), "value", entry.value.value_or(""), "null");
     }
     entries += entries.empty() ? "[]" : "]";
-    return withRawMember(json::serialize(json::object{{"revision", reply.revision}}), "entries",
+    return withRawMember(serializeJson(json::object{{"revision", reply.revision}}), "entries",
                          entries, "[]");
 }
 
@@ -66,7 +67,7 @@
     json::object body{{"revision", reply.revision}};
     if (reply.hosts)
         body["hosts"] = hostsArray(*reply.hosts);
-    return json::serialize(body);
+    return serializeJson(body);
 }
 
 ProtocolResult<HostsReply> decodeHostsReply(std::string_view body)
--- a/protocol/upstream_codec.cpp
+++ b/protocol/upstream_codec.cpp
@@ -1,6 +1,7 @@
 #include "protocol/upstream_codec.h"
 
 #include "protocol/json_reader.h"
+#include "protocol/json_writer.h"
 
 namespace json = boost::json;
 
@@ -68,7 +69,7 @@
                             {"shard", answer.shard},
                             {"snapshot", answer.snapshot},
                             {"incarnation", answer.incarnation}};
-    return withRawMember(json::serialize(body), "items", answer.items, "[]");
+    return withRawMember(serializeJson(body), "items", answer.items, "[]");
 }
 
 std::string encodeRefusal(const ExecuteRefusal &refusal)
@@ -77,7 +78,7 @@
                       {"incarnation", refusal.incarnation}};
     if (refusal.reason == UpstreamRefusal::SnapshotMissing)
         body["held"] = json::array(refusal.held.begin(), refusal.held.end());
-    return json::serialize(body);
+    return serializeJson(body);
 }
 
 } // namespace
@@ -92,7 +93,7 @@
                       {"priority", enumName(PriorityNames, request.priority)}};
     if (!request.key.empty())
         body["key"] = request.key;
-    return withRawMember(json::serialize(body), "query", request.query, "{}");
+    return withRawMember(serializeJson(body), "query", request.query, "{}");
 }
 
 ProtocolResult<ExecuteRequest> decodeExecuteRequest(std::string_view body)
@@ -138,7 +139,7 @@
 
 std::string encodeCancelExecution(const CancelExecution &cancel)
 {
-    return json::serialize(
+    return serializeJson(
             json::object{{"request_id", cancel.requestId}, {"attempt", cancel.attempt}});
 }
 
--- a/protocol/view_codec.cpp
+++ b/protocol/view_codec.cpp
@@ -1,4 +1,5 @@
 #include "protocol/view_codec.h"
+#include "protocol/json_writer.h"
 
 #include "protocol/host_record_json.h"
 
@@ -150,7 +151,7 @@
 {
     auto body = commonObject(request);
     body["want_all"] = request.wantAll;
-    return json::serialize(body);
+    return serializeJson(body);
 }
 
 ProtocolResult<ViewRequest> decodeViewRequest(std::string_view text)
@@ -166,7 +167,7 @@
         body["hosts"] = hostsArray(*reply.hosts);
     body["confirmed_age_ms"] = millisecondCount(reply.confirmedAge);
     body["ready"] = reply.ready;
-    return json::serialize(body);
+    return serializeJson(body);
 }
 
 ProtocolResult<ViewReply> decodeViewReply(std::string_view text)
