--- /dev/null
+++ b/main/persimmon_measure.cpp
@@ -0,0 +1,30 @@
+#include "measure/measure.h"
+#include "transport/settings.h"
+
+#include <iostream>
+
+using namespace persimmon;
+
+int main(int argc, char **argv)
+{
+    transport::Settings settings("persimmon-measure",
+                                 "Measures memory, processor time and bytes by size, in process");
+    settings.addChoice("part", "what to measure", "all",
+                       {"all", "views", "planning", "stores", "exchange", "codecs", "propagation"});
+    settings.addInteger("seed", "seed of the random choices", 1, 0, 1'000'000'000);
+    if (const auto status = settings.parse(argc, argv))
+        return *status;
+    const auto seed = static_cast<std::uint64_t>(settings.integer("seed"));
+    const auto chosen = settings.text("part");
+    const auto run = [&](const std::string &part, auto measurement) {
+        if (chosen == "all" || chosen == part)
+            std::cout << measure::formatTable(measurement()) << std::flush;
+    };
+    run("views", measure::measureViews);
+    run("planning", measure::measurePlanning);
+    run("stores", measure::measureStores);
+    run("exchange", measure::measureExchange);
+    run("codecs", measure::measureCodecs);
+    run("propagation", [seed] { return measure::measurePropagation(seed); });
+    return 0;
+}
