--- a/misc/install_deps.sh
+++ b/misc/install_deps.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 
 packages=(
-  g++ cmake ninja-build ccache clang-format clang-tidy git curl
+  g++ cmake ninja-build ccache clang-format clang-tidy git curl jq
   libboost1.81-dev libboost-log1.81-dev libboost-json1.81-dev libboost-url1.81-dev
   libjsonrpccpp-dev libjsoncpp-dev libcxxopts-dev libxxhash-dev libmsgpuck-dev
   doctest-dev librapidcheck-dev
--- a/misc/run_deployment.sh
+++ b/misc/run_deployment.sh
@@ -83,6 +83,11 @@
   rm -f "$run/pids"
 }
 
+# Sourced by another script, this file gives it only the functions.
+if [ "${BASH_SOURCE[0]}" != "$0" ]; then
+  return 0
+fi
+
 case ${1:-} in
   start)
     folder=$root/misc/deployments/${2:?deployment} run=${3:?run folder} network=${4:-127.0}
--- a/standin/control_service.cpp
+++ b/standin/control_service.cpp
@@ -37,6 +37,7 @@
             {"refused", counters.refused},
             {"peak_warm", counters.peakWarm},
             {"peak_cold", counters.peakCold},
+            {"peak_load", counters.peakLoad},
             {"crashes", counters.crashes},
             {"cold_overloads", counters.coldOverloads},
             {"last_request_age_ms", describeAge(counters.lastRequest, now)}};
--- a/standin/execution_log.h
+++ b/standin/execution_log.h
@@ -27,6 +27,8 @@
     std::uint64_t executions = 0;
     std::uint32_t peakWarm = 0;
     std::uint32_t peakCold = 0;
+    /// Most requests that ran or waited at the same time.
+    std::uint32_t peakLoad = 0;
     std::uint64_t crashes = 0;
     std::uint64_t coldOverloads = 0;
     std::uint64_t refused = 0;
--- a/standin/upstream.cpp
+++ b/standin/upstream.cpp
@@ -152,6 +152,7 @@
         beginTask(*task);
     } else {
         slots_.enqueue();
+        notePeakLoad();
         task->timer.expires_after(task->request.deadline);
         co_await task->timer.async_wait(AwaitTuple);
     }
@@ -194,6 +195,13 @@
     auto &counters = log_.counters(settings_.name);
     auto &peak = cold ? counters.peakCold : counters.peakWarm;
     peak = std::max(peak, slots_.running());
+    notePeakLoad();
+}
+
+void Upstream::notePeakLoad()
+{
+    auto &peak = log_.counters(settings_.name).peakLoad;
+    peak = std::max(peak, slots_.running() + slots_.queued());
 }
 
 void Upstream::endTask(const TaskPointer &task, bool completed)
--- a/standin/upstream.h
+++ b/standin/upstream.h
@@ -95,6 +95,7 @@
     transport::HttpResponse refuse(protocol::UpstreamRefusal reason);
     bool holds(std::uint64_t snapshot, const std::string &shard) const;
     void beginTask(Task &task);
+    void notePeakLoad();
     void endTask(const TaskPointer &task, bool completed);
     std::chrono::microseconds drawServiceTime();
     /// Waits until the posted close of all connections has run, so that no answer leaves.
