Run the tests over processes against other flags

Cause: a proof needs a side that fails, so the same tests must run against the naive policy or with a mechanism switched off. Change: PERSIMMON_TEST_ENTRY_FLAGS and PERSIMMON_TEST_DISPATCH_FLAGS add flags to the daemons of tests/system.

--- a/tests/system/cluster.cpp
+++ b/tests/system/cluster.cpp
@@ -4,6 +4,7 @@
 
 #include <unistd.h>
 
+#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <iterator>
@@ -27,6 +28,20 @@
     return "127." + std::to_string(FirstNetwork + (getpid() + 7 * count++) % NetworkCount);
 }
 
+/// @return the words of an environment variable; the same tests run against another policy or with
+///         a mechanism switched off through them.
+std::vector<std::string> extraFlags(const char *variable)
+{
+    const char *text = std::getenv(variable);
+    std::istringstream words(text == nullptr ? "" : text);
+    return {std::istream_iterator<std::string>(words), {}};
+}
+
+void append(std::vector<std::string> &arguments, const std::vector<std::string> &more)
+{
+    arguments.insert(arguments.end(), more.begin(), more.end());
+}
+
 json::value readJson(const std::string &path)
 {
     std::ifstream file(path);
@@ -78,7 +93,7 @@
                                        network_ + ".0.1:7000",
                                        "--control",
                                        network_ + ".0.1:7001"};
-    arguments.insert(arguments.end(), options_.standinFlags.begin(), options_.standinFlags.end());
+    append(arguments, options_.standinFlags);
     standin_.emplace_back(arguments, logPath("standin"));
     eventually([&] { return !standinState().is_null(); });
     for (int host = 1; host <= HostCount; ++host) {
@@ -140,8 +155,8 @@
     auto arguments = daemonArguments("persimmon-dispatch", host);
     arguments.insert(arguments.end(),
                      {"--agent", ip(host) + ":7300", "--admin", ip(host) + ":7201"});
-    const auto &extra = options_.dispatchFlags;
-    arguments.insert(arguments.end(), extra.begin(), extra.end());
+    append(arguments, options_.dispatchFlags);
+    append(arguments, extraFlags("PERSIMMON_TEST_DISPATCH_FLAGS"));
     dispatchers_.erase(host);
     dispatchers_.emplace(host, Process(arguments, logPath("dispatch-" + std::to_string(host))));
 }
@@ -151,8 +166,8 @@
     auto arguments = daemonArguments("persimmon-entry", host);
     arguments.insert(arguments.end(),
                      {"--agent", ip(host) + ":7300", "--admin", ip(host) + ":7101"});
-    const auto &extra = options_.entryFlags;
-    arguments.insert(arguments.end(), extra.begin(), extra.end());
+    append(arguments, options_.entryFlags);
+    append(arguments, extraFlags("PERSIMMON_TEST_ENTRY_FLAGS"));
     entries_.erase(host);
     entries_.emplace(host, Process(arguments, logPath("entry-" + std::to_string(host))));
 }
