--- /dev/null
+++ b/misc/check_mutations.sh
@@ -0,0 +1,100 @@
+#!/usr/bin/env bash
+# Removes one mechanism after another from a copy of the sources and checks that its test fails
+# then. Prints one line for each; exit 0 only if every test noticed. Takes about ten minutes.
+# Usage: misc/check_mutations.sh [NAME...]
+set -euo pipefail
+cd "$(dirname "$0")/.."
+misc/build.sh build
+copy=$PWD/build-mutations
+mkdir -p "$copy"
+git archive HEAD | tar -x -C "$copy" --warning=no-timestamp
+cd "$copy"
+cmake -S . -B build -G Ninja -DCMAKE_BUILD_TYPE=Release >configure.log
+cmake --build build -- --quiet
+
+failed=0
+wanted=("$@")
+
+isWanted() {
+  [ "${#wanted[@]}" -eq 0 ] || printf '%s\n' "${wanted[@]}" | grep -qx "$1"
+}
+
+# report NAME STATUS: STATUS is that of the test run, which must have failed.
+report() {
+  if [ "$2" -ne 0 ]; then
+    echo "noticed      $1"
+  else
+    echo "NOT NOTICED  $1"
+    failed=1
+  fi
+}
+
+# mutate NAME FILE PERL-EXPRESSION TEST-PROGRAM CASES
+mutate() {
+  isWanted "$1" || return 0
+  cp "$2" original.tmp
+  perl -0pi -e "$3" "$2"
+  if cmp -s "$2" original.tmp; then
+    echo "NOT APPLIED  $1: the expression changes nothing in $2"
+    failed=1
+    return 0
+  fi
+  local status=0
+  if cmake --build build -- --quiet >"build-$1.log" 2>&1; then
+    PERSIMMON_RUN_KNOWN_RED=1 timeout 300 "build/tests/$4" -tc="$5" >"run-$1.log" 2>&1 || status=$?
+    report "$1" "$status"
+  else
+    echo "NOT BUILT    $1"
+    failed=1
+  fi
+  cp original.tmp "$2"
+}
+
+# switchOff NAME VARIABLE FLAGS CASES: the same with a flag of the daemons.
+switchOff() {
+  isWanted "$1" || return 0
+  cmake --build build -- --quiet
+  local status=0
+  env "$2=$3" PERSIMMON_RUN_KNOWN_RED=1 timeout 300 build/tests/test_system -tc="$4" \
+    >"run-$1.log" 2>&1 || status=$?
+  report "$1" "$status"
+}
+
+mutate ids-not-recorded state/idempotency_store.cpp \
+  's/if \(found != records\.end\(\)\) \{/if (found != records.end() \&\& unique.empty()) {/' \
+  test_system 'presses at every entry*'
+mutate any-entry-runs-ids entry/non_repeatable_executor.cpp \
+  's/co_return co_await forward\([^;]*;/co_return co_await start(std::move(request), *id, arrival);/' \
+  test_system 'presses at every entry*'
+mutate incarnation-ignored entry/non_repeatable_executor.cpp \
+  's/if \(id->home\.incarnation != identity_\.incarnation\)/if (id->unique.empty())/' \
+  test_system 'a payment whose home is killed*'
+mutate refusal-not-recorded state/idempotency_store.cpp \
+  's/(Full, \{\}\};\n    \})/$1\n    if (refusal)\n        return {Admission::Refused, *refusal};/' \
+  test_state '*'
+mutate snapshots-mixed state/query_merge.cpp \
+  's/if \(result\.snapshot != plan_\.snapshot\)/if (result.shard.empty())/' test_state '*'
+mutate crossed-answers dispatch/upstream_pool.cpp \
+  's/isAnswerTo\(\*answer, work\.request\)/!answer->shard.empty()/' test_dispatch '*'
+mutate out-domains-ignored state/cluster_view.cpp \
+  's/&& !outDomains\.contains\(host\.failureDomain\)//' test_system 'a failure domain leaves*'
+mutate leaving-ignored state/cluster_view.cpp \
+  's/host\.state == protocol::HostState::Live/!host.name.empty()/' \
+  test_system 'a leaving upstream*'
+mutate older-revision-wins state/config_store.cpp \
+  's/const bool isNewest = entry\.revision > known\.newest\.revision;/const bool isNewest = true;/' \
+  test_state '*'
+mutate invalid-value-accepted state/config_store.cpp \
+  's/change\.fault = errorOf\(parsed\);/change.fault = errorOf(parsed);\n        next.valid = entry;\n        next.document.reset();/' \
+  test_state '*'
+mutate shutdown-without-wait entry/entry_server.cpp \
+  's/co_await runtime_\.clock\(\)\.sleep\(options_\.validFor \+ OutOfServiceMargin\);//' \
+  test_system 'a rolling restart*'
+mutate pause-not-noticed coordination/view_client.cpp \
+  's/return state_->unverified \|\| [^;]*;/return false;/' test_coordination '*'
+switchOff ramp-off PERSIMMON_TEST_DISPATCH_FLAGS '--ramp off' 'upstreams that turn cold*'
+switchOff canary-off PERSIMMON_TEST_ENTRY_FLAGS '--canary off' 'a crashing query*'
+switchOff naive-crash PERSIMMON_TEST_ENTRY_FLAGS '--policy naive' 'a crashing query*'
+switchOff naive-cold PERSIMMON_TEST_ENTRY_FLAGS '--policy naive' 'upstreams that turn cold*'
+switchOff naive-late-answer PERSIMMON_TEST_ENTRY_FLAGS '--policy naive' 'a late answer*'
+exit "$failed"
