Hedge shards between dispatchers and pass over suspect links

Cause: a paused or cut-off dispatcher was noticed only after 1.5 s of silence, far beyond a deadline of 200 ms, so its shards were missing from every answer until then, and again for up to 250 ms at each attempt to connect.

Change: LinkHealth derives a hedge delay from the answer times of a link and calls the link suspect after 3 overdue shards without any frame, or a lost connection, until a frame arrives. QueryMerge hands out overdue shards and the asks that another dispatcher has superseded. QueryRun hedges them within ProfileBudgets and demotes suspect dispatchers when it plans; a demoted link is probed, so that it can show that it is back. Queries whose canary is not answered are not hedged: a dispatcher holds unproven queries back on purpose.

Ruled out: a shorter silence limit of the connection, which would close links to dispatchers that only pause for a moment; hedges without a budget; one budget for all profiles, which bulk work could use up.

--- a/entry/dispatcher_link.cpp
+++ b/entry/dispatcher_link.cpp
@@ -34,7 +34,8 @@
     asio::post(strand_, [self = shared_from_this(), batch = std::move(batch),
                          handler = std::move(handler)]() mutable {
         const auto id = batch.batchId;
-        OpenBatch open{std::move(batch), std::move(handler), {}, false};
+        OpenBatch open{
+                std::move(batch), std::move(handler), {}, false, self->runtime_.clock().now()};
         for (const auto &sub : open.batch.subRequests)
             open.shards.insert(sub.shard);
         self->open_.emplace(id, std::move(open));
@@ -67,6 +68,32 @@
     });
 }
 
+void DispatcherLink::probe()
+{
+    asio::post(strand_, [self = shared_from_this()] {
+        if (self->phase_ == Phase::Down && self->runtime_.clock().now() >= self->retryAt_)
+            self->connect();
+    });
+}
+
+void DispatcherLink::noteOverdue(transport::TimePoint sentAt)
+{
+    const std::lock_guard lock(healthMutex_);
+    health_.onOverdue(sentAt);
+}
+
+bool DispatcherLink::isSuspect() const
+{
+    const std::lock_guard lock(healthMutex_);
+    return health_.isSuspect();
+}
+
+transport::Duration DispatcherLink::hedgeDelay(transport::Duration limit) const
+{
+    const std::lock_guard lock(healthMutex_);
+    return health_.hedgeDelay(limit);
+}
+
 void DispatcherLink::close()
 {
     asio::post(strand_, [self = shared_from_this()] {
@@ -142,6 +169,10 @@
         onLost("malformed frame: " + errorOf(message).message);
         return;
     }
+    {
+        const std::lock_guard lock(healthMutex_);
+        health_.onReceived(runtime_.clock().now());
+    }
     if (const auto *hello = std::get_if<protocol::Hello>(&valueOf(message)))
         onHello(*hello);
     else if (const auto *result = std::get_if<SubResult>(&valueOf(message)))
@@ -174,6 +205,10 @@
         options_->onUnmatched();
         return;
     }
+    if (result.outcome == protocol::SubOutcome::Done) {
+        const std::lock_guard lock(healthMutex_);
+        health_.onAnswer(runtime_.clock().now() - found->second.sentAt);
+    }
     const auto handler = found->second.handler;
     found->second.shards.erase(result.shard);
     if (found->second.shards.empty())
@@ -186,6 +221,10 @@
     transport::logWarning(
             Part, "The connection to a dispatcher is lost.",
             {{"dispatcher", transport::formatEndpoint(endpoint_)}, {"reason", reason}});
+    {
+        const std::lock_guard lock(healthMutex_);
+        health_.onLost();
+    }
     if (connection_)
         connection_->close();
     connection_.reset();
--- a/entry/dispatcher_link.h
+++ b/entry/dispatcher_link.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "protocol/protocol.h"
+#include "state/link_health.h"
 #include "transport/transport.h"
 
 #include <functional>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <set>
 #include <vector>
 
@@ -44,6 +46,19 @@
     /// Asks the dispatcher to end sub-requests and forgets them.
     void cancel(std::uint64_t batchId, std::vector<std::string> shards);
 
+    /// Connects when the link is down, so that a suspect link can show that it delivers again.
+    void probe();
+
+    /// Notes that a shard sent at @p sentAt is without an answer after its hedge delay.
+    void noteOverdue(transport::TimePoint sentAt);
+
+    /// @return whether new work should go to another dispatcher.
+    bool isSuspect() const;
+
+    /// @param limit time limit of the query.
+    /// @return how long a shard may stay without an answer before it is hedged.
+    transport::Duration hedgeDelay(transport::Duration limit) const;
+
     /// Closes the connection.
     void close();
 
@@ -56,6 +71,7 @@
         ResultHandler handler;
         std::set<std::string> shards;
         bool written = false;
+        transport::TimePoint sentAt{};
     };
 
     void sendNow(std::uint64_t batchId);
@@ -76,6 +92,9 @@
     transport::TimePoint retryAt_{};
     std::shared_ptr<transport::FrameConnection> connection_;
     std::map<std::uint64_t, OpenBatch> open_;
+    /// Guards health_, which queries read from their own strands.
+    mutable std::mutex healthMutex_;
+    state::LinkHealth health_;
 };
 
 } // namespace persimmon::entry
--- a/entry/query_executor.cpp
+++ b/entry/query_executor.cpp
@@ -16,14 +16,19 @@
       canaryHolds(metrics.counter("persimmon_entry_canary_holds_total",
                                   "Queries whose other shards waited for a canary.")),
       replans(metrics.counter("persimmon_entry_replans_total",
-                              "Queries planned again on another snapshot."))
+                              "Queries planned again on another snapshot.")),
+      hedges(metrics.counter("persimmon_entry_hedges_total",
+                             "Shards sent to a second dispatcher because the first was late.")),
+      demotions(metrics.counter("persimmon_entry_demotions_total",
+                                "Dispatchers passed over by a query because of a suspect link."))
 {
 }
 
 QueryExecutor::QueryExecutor(transport::Runtime &runtime, transport::Metrics &metrics,
                              DispatcherLinks &links, EntryHooks hooks, ExecutorOptions options)
     : context_(new ExecutorContext{runtime, std::move(hooks), links, std::move(options),
-                                   ExecutorMetrics(metrics), state::CanaryGate()})
+                                   ExecutorMetrics(metrics), state::CanaryGate(),
+                                   state::ProfileBudgets()})
 {
 }
 
--- a/entry/query_executor.h
+++ b/entry/query_executor.h
@@ -22,6 +22,8 @@
     transport::Counter &mismatched;
     transport::Counter &canaryHolds;
     transport::Counter &replans;
+    transport::Counter &hedges;
+    transport::Counter &demotions;
 };
 
 /// What all running queries share.
@@ -33,6 +35,7 @@
     ExecutorOptions options;
     ExecutorMetrics metrics;
     state::CanaryGate gate;
+    state::ProfileBudgets budgets;
     std::atomic<std::uint64_t> lastQuery = 0;
 };
 
--- a/entry/query_run.cpp
+++ b/entry/query_run.cpp
@@ -80,6 +80,14 @@
 
 void QueryRun::adopt(state::QueryPlan plan)
 {
+    const auto demoted = state::demoteSuspects(plan, [this](const std::string &dispatcher) {
+        const auto link = linkTo(dispatcher);
+        return link && link->isSuspect();
+    });
+    for (const auto &dispatcher : demoted) {
+        linkTo(dispatcher)->probe();
+        context_->metrics.demotions.add();
+    }
     const auto enoughAt = arrival_ + plan.profile.enoughAfter;
     const state::MergeLimits limits{enoughAt, deadline_};
     merge_.emplace(std::move(plan), limits);
@@ -88,6 +96,7 @@
 asio::awaitable<void> QueryRun::sendPlan()
 {
     const auto &plan = merge_->plan();
+    context_->budgets.addPrimaries(request_.profile, plan.profile.extraLoad, plan.shards.size());
     const bool wanted = context_->options.canary && plan.profile.repeatable
                         && plan.shards.size() > 1 && !context_->gate.isProven(fingerprint_);
     if (!wanted) {
@@ -148,15 +157,14 @@
     batch.canary = canary;
     batch.query = request_.query;
     batch.key = request_.key.value_or("");
+    const auto link = linkTo(dispatcher);
+    const auto hedgeAt = link ? now() + link->hedgeDelay(deadline_ - arrival_) : deadline_;
     for (const auto shard : shards) {
-        merge_->expect(batch.batchId, shard);
+        merge_->expect(batch.batchId, shard, hedgeAt);
         batch.subRequests.push_back(
                 {plan.shards[shard].shard.id, plan.shards[shard].shard.service});
     }
-    const auto &address = view_->entryHosts.at(dispatcher).address;
-    const auto endpoint = transport::parseEndpoint(
-            address + ":" + std::to_string(context_->options.dispatchPort));
-    if (!isOk(endpoint)) {
+    if (!link) {
         for (const auto &sub : batch.subRequests) {
             SubResult result;
             result.batchId = batch.batchId;
@@ -167,13 +175,47 @@
         }
         return;
     }
-    const auto link = context_->links.link(valueOf(endpoint));
-    linksByBatch_[batch.batchId] = link;
+    sent_[batch.batchId] = {link, now()};
     link->send(std::move(batch), [self = shared_from_this()](const SubResult &result) {
         asio::post(self->strand_, [self, result] { self->onResult(result); });
     });
 }
 
+std::shared_ptr<DispatcherLink> QueryRun::linkTo(const std::string &dispatcher) const
+{
+    const auto &address = view_->entryHosts.at(dispatcher).address;
+    const auto endpoint = transport::parseEndpoint(
+            address + ":" + std::to_string(context_->options.dispatchPort));
+    return isOk(endpoint) ? context_->links.link(valueOf(endpoint)) : nullptr;
+}
+
+bool QueryRun::mayHedge() const
+{
+    // A dispatcher holds unproven queries back on purpose; a second one must not run them as well.
+    return !context_->options.canary || merge_->plan().shards.size() == 1
+           || context_->gate.isProven(fingerprint_);
+}
+
+void QueryRun::hedgeOverdue()
+{
+    std::map<std::string, std::vector<std::size_t>> hedges;
+    for (const auto &overdue : merge_->takeOverdue(now())) {
+        const auto sent = sent_.find(overdue.batchId);
+        if (sent != sent_.end() && !overdue.postponed)
+            sent->second.link->noteOverdue(sent->second.sentAt);
+        if (!merge_->hasNextDispatcher(overdue.shard))
+            continue;
+        if (!mayHedge() || !context_->budgets.tryTake(request_.profile)) {
+            merge_->postponeHedge(overdue.shard, now() + state::LeastHedgeDelay);
+            continue;
+        }
+        context_->metrics.hedges.add();
+        hedges[merge_->takeNextDispatcher(overdue.shard)].push_back(overdue.shard);
+    }
+    for (const auto &[dispatcher, shards] : hedges)
+        sendShards(dispatcher, shards, false);
+}
+
 void QueryRun::onResult(const SubResult &result)
 {
     if (result.outcome == protocol::SubOutcome::Done)
@@ -205,6 +247,7 @@
         }
         if (step.action == MergeAction::Answer)
             co_return;
+        hedgeOverdue();
         co_await inbox_.waitUntil(merge_->nextDecision(now()));
     }
 }
@@ -222,6 +265,7 @@
 MergeStep QueryRun::takeResult(const SubResult &result)
 {
     auto step = merge_->accept(result, now());
+    cancel(merge_->takeSuperseded());
     if (step.action == MergeAction::Drop)
         context_->metrics.mismatched.add();
     if (step.action == MergeAction::Retry)
@@ -245,18 +289,18 @@
     const auto before = merge_->answer(now());
     earlierExecutions_ += before.executions;
     earlierMayHaveRun_ = earlierMayHaveRun_ || merge_->mayHaveRun();
-    cancelOpen();
+    cancel(merge_->open());
     inbox_.clear();
     context_->metrics.replans.add();
     adopt(takeValue(plan));
     return true;
 }
 
-void QueryRun::cancelOpen()
+void QueryRun::cancel(std::map<std::uint64_t, std::vector<std::string>> asks)
 {
-    for (auto &[batch, shards] : merge_->open()) {
-        if (const auto found = linksByBatch_.find(batch); found != linksByBatch_.end())
-            found->second->cancel(batch, std::move(shards));
+    for (auto &[batch, shards] : asks) {
+        if (const auto found = sent_.find(batch); found != sent_.end())
+            found->second.link->cancel(batch, std::move(shards));
     }
 }
 
@@ -271,7 +315,7 @@
     }
     // A late answer of a non-repeatable request still turns its record into done.
     if (merge_->plan().profile.repeatable)
-        cancelOpen();
+        cancel(merge_->open());
     return answer;
 }
 
--- a/entry/query_run.h
+++ b/entry/query_run.h
@@ -18,6 +18,12 @@
     boost::asio::awaitable<protocol::QueryAnswer> run();
 
 private:
+    struct SentBatch
+    {
+        std::shared_ptr<DispatcherLink> link;
+        state::TimePoint sentAt{};
+    };
+
     using PlanResult = Result<state::QueryPlan, state::PlanError>;
 
     boost::asio::awaitable<PlanResult> makeFirstPlan();
@@ -31,9 +37,12 @@
     void sendShards(const std::string &dispatcher, const std::vector<std::size_t> &shards,
                     bool canary);
     void sendAllExcept(std::optional<std::size_t> sent);
+    void hedgeOverdue();
+    bool mayHedge() const;
+    std::shared_ptr<DispatcherLink> linkTo(const std::string &dispatcher) const;
+    void cancel(std::map<std::uint64_t, std::vector<std::string>> asks);
     void onResult(const protocol::SubResult &result);
     void onLateResult(const protocol::SubResult &result);
-    void cancelOpen();
     protocol::QueryAnswer makeAnswer();
     state::TimePoint now() const { return context_->runtime.clock().now(); }
 
@@ -45,7 +54,7 @@
     EntryHooks::View view_;
     std::optional<state::QueryMerge> merge_;
     ResultInbox inbox_;
-    std::map<std::uint64_t, std::shared_ptr<DispatcherLink>> linksByBatch_;
+    std::map<std::uint64_t, SentBatch> sent_;
     std::set<std::uint64_t> triedSnapshots_;
     std::string requestId_;
     std::uint64_t fingerprint_ = 0;
--- a/state/extra_load_budget.cpp
+++ b/state/extra_load_budget.cpp
@@ -6,7 +6,7 @@
 
 void ExtraLoadBudget::addPrimary(double extraLoad)
 {
-    tokens_ = std::min(Capacity, tokens_ + extraLoad);
+    tokens_ = std::min(capacity_, tokens_ + extraLoad);
 }
 
 bool ExtraLoadBudget::tryTake()
--- a/state/extra_load_budget.h
+++ b/state/extra_load_budget.h
@@ -2,7 +2,7 @@
 
 namespace persimmon::state {
 
-/// Token bucket that pays for hedges and retries of one service.
+/// Token bucket that pays for hedges and retries.
 class ExtraLoadBudget
 {
 public:
@@ -11,6 +11,12 @@
     /// A new bucket pays for one extra execution, so that the first failure can be retried.
     static constexpr double InitialTokens = 1;
 
+    explicit ExtraLoadBudget(double capacity = Capacity, double initialTokens = InitialTokens)
+        : capacity_(capacity),
+          tokens_(initialTokens)
+    {
+    }
+
     /// Adds the tokens of one primary execution.
     void addPrimary(double extraLoad);
 
@@ -20,7 +26,8 @@
     double tokens() const { return tokens_; }
 
 private:
-    double tokens_ = InitialTokens;
+    double capacity_;
+    double tokens_;
 };
 
 } // namespace persimmon::state
--- a/state/query_merge.cpp
+++ b/state/query_merge.cpp
@@ -52,7 +52,7 @@
 {
 }
 
-void QueryMerge::expect(std::uint64_t batchId, std::size_t shard)
+void QueryMerge::expect(std::uint64_t batchId, std::size_t shard, TimePoint hedgeAt)
 {
     auto &state = states_[shard];
     state.sent = true;
@@ -60,6 +60,8 @@
     // An error of an earlier dispatcher says nothing about the one that is asked now.
     state.error = SubError::None;
     state.openBatches.push_back(batchId);
+    state.hedgeAt = hedgeAt;
+    state.postponed = false;
 }
 
 bool QueryMerge::closeAsk(const SubResult &result, std::size_t &shard)
@@ -105,15 +107,62 @@
         state.settled = true;
         return {MergeAction::Replan, 0, {}};
     }
-    const auto &dispatchers = plan_.shards[shard].dispatchers;
-    const auto most = std::min(dispatchers.size(), MaxDispatchersPerShard);
     if (isRetryable(result.error) && mayRepeat && now < limits_.deadline
-        && state.nextDispatcher < most)
-        return {MergeAction::Retry, shard, dispatchers[state.nextDispatcher++]};
+        && hasNextDispatcher(shard))
+        return {MergeAction::Retry, shard, takeNextDispatcher(shard)};
     state.settled = true;
     return decide(now);
 }
 
+bool QueryMerge::isAwaited(const ShardState &state) const
+{
+    return plan_.profile.repeatable && !state.answered && !state.openBatches.empty();
+}
+
+std::vector<OverdueShard> QueryMerge::takeOverdue(TimePoint now)
+{
+    std::vector<OverdueShard> overdue;
+    for (std::size_t i = 0; i < states_.size(); ++i) {
+        auto &state = states_[i];
+        if (!isAwaited(state) || now < state.hedgeAt)
+            continue;
+        state.hedgeAt = TimePoint::max();
+        overdue.push_back({i, state.openBatches.back(), state.postponed});
+    }
+    return overdue;
+}
+
+void QueryMerge::postponeHedge(std::size_t shard, TimePoint hedgeAt)
+{
+    states_[shard].hedgeAt = hedgeAt;
+    states_[shard].postponed = true;
+}
+
+bool QueryMerge::hasNextDispatcher(std::size_t shard) const
+{
+    const auto ranked = plan_.shards[shard].dispatchers.size();
+    return states_[shard].nextDispatcher < std::min(ranked, MaxDispatchersPerShard);
+}
+
+const std::string &QueryMerge::takeNextDispatcher(std::size_t shard)
+{
+    return plan_.shards[shard].dispatchers[states_[shard].nextDispatcher++];
+}
+
+std::map<std::uint64_t, std::vector<std::string>> QueryMerge::takeSuperseded()
+{
+    std::map<std::uint64_t, std::vector<std::string>> superseded;
+    for (std::size_t i = 0; i < states_.size(); ++i) {
+        auto &state = states_[i];
+        if (!state.answered)
+            continue;
+        for (const auto batch : state.openBatches)
+            superseded[batch].push_back(plan_.shards[i].shard.id);
+        state.openBatches.clear();
+    }
+    return superseded;
+}
+
 bool QueryMerge::hasEnough() const
 {
     return coverage().fraction >= plan_.profile.minCoverage;
@@ -130,7 +179,13 @@
 
 TimePoint QueryMerge::nextDecision(TimePoint now) const
 {
-    return now < limits_.enoughAt ? std::min(limits_.enoughAt, limits_.deadline) : limits_.deadline;
+    auto next = now < limits_.enoughAt ? std::min(limits_.enoughAt, limits_.deadline)
+                                       : limits_.deadline;
+    for (const auto &state : states_) {
+        if (isAwaited(state))
+            next = std::min(next, state.hedgeAt);
+    }
+    return next;
 }
 
 protocol::Coverage QueryMerge::coverage() const
--- a/state/query_merge.h
+++ b/state/query_merge.h
@@ -29,6 +29,16 @@
     std::string dispatcher;
 };
 
+/// A shard that its dispatcher has not answered within the hedge delay.
+struct OverdueShard
+{
+    std::size_t shard = 0;
+    /// Batch that was sent last.
+    std::uint64_t batchId = 0;
+    /// Whether this ask was overdue before and its hedge was postponed.
+    bool postponed = false;
+};
+
 /// Collects the results of one query on one plan. Not thread-safe.
 class QueryMerge
 {
@@ -36,7 +46,8 @@
     QueryMerge(QueryPlan plan, MergeLimits limits);
 
     /// Records that @p shard (an index into the plan's shards) was sent in batch @p batchId.
-    void expect(std::uint64_t batchId, std::size_t shard);
+    /// @param hedgeAt time from which a shard without an answer is overdue.
+    void expect(std::uint64_t batchId, std::size_t shard, TimePoint hedgeAt = TimePoint::max());
 
     /// Takes one result; it counts only when batch, shard and snapshot match what was asked.
     MergeStep accept(const protocol::SubResult &result, TimePoint now);
@@ -47,6 +58,23 @@
     /// @return time at which decide() can change without a further result.
     TimePoint nextDecision(TimePoint now) const;
 
+    /// Takes the shards of a repeatable query whose hedge time has come. Each is returned once,
+    /// until expect() or postponeHedge() sets a new hedge time.
+    std::vector<OverdueShard> takeOverdue(TimePoint now);
+
+    /// Sets a new hedge time of a shard that could not be hedged yet.
+    void postponeHedge(std::size_t shard, TimePoint hedgeAt);
+
+    /// @return whether a further dispatcher may get the shard.
+    bool hasNextDispatcher(std::size_t shard) const;
+
+    /// @return the next dispatcher of the shard's ranking; hasNextDispatcher() must hold.
+    const std::string &takeNextDispatcher(std::size_t shard);
+
+    /// Takes the open asks of shards that another dispatcher has answered, by batch. They no longer
+    /// belong to the query.
+    std::map<std::uint64_t, std::vector<std::string>> takeSuperseded();
+
     /// @return share of the key space that has arrived, 0 to 1.
     protocol::Coverage coverage() const;
 
@@ -66,6 +94,8 @@
     {
         std::vector<std::uint64_t> openBatches;
         std::size_t nextDispatcher = 1;
+        TimePoint hedgeAt = TimePoint::max();
+        bool postponed = false;
         bool sent = false;
         bool answered = false;
         bool settled = false;
@@ -74,6 +104,7 @@
         std::string items;
     };
 
+    bool isAwaited(const ShardState &state) const;
     bool hasEnough() const;
     bool closeAsk(const protocol::SubResult &result, std::size_t &shard);
     MergeStep onFailure(std::size_t shard, const protocol::SubResult &result, TimePoint now);
--- a/state/query_planner.cpp
+++ b/state/query_planner.cpp
@@ -3,6 +3,8 @@
 #include "state/ownership.h"
 #include "state/snapshot_token.h"
 
+#include <algorithm>
+
 namespace persimmon::state {
 
 using protocol::QueryRequest;
@@ -35,6 +37,23 @@
     return owners;
 }
 
+std::set<std::string> demoteSuspects(QueryPlan &plan,
+                                     const std::function<bool(const std::string &)> &isSuspect)
+{
+    std::set<std::string> demoted;
+    for (auto &shard : plan.shards) {
+        auto &dispatchers = shard.dispatchers;
+        const auto first = dispatchers.front();
+        if (!isSuspect(first))
+            continue;
+        std::stable_partition(dispatchers.begin(), dispatchers.end(),
+                              [&](const auto &name) { return !isSuspect(name); });
+        if (dispatchers.front() != first)
+            demoted.insert(first);
+    }
+    return demoted;
+}
+
 Result<QueryPlan, PlanError> QueryPlanner::plan(const QueryRequest &request,
                                                 const std::set<std::uint64_t> &tried) const
 {
--- a/state/query_planner.h
+++ b/state/query_planner.h
@@ -2,6 +2,7 @@
 
 #include "state/cluster_view.h"
 
+#include <functional>
 #include <set>
 
 namespace persimmon::state {
@@ -41,6 +42,12 @@
     std::map<std::string, std::vector<std::size_t>> byOwner() const;
 };
 
+/// Moves the dispatchers of suspect links to the end of each shard's ranking, in their order.
+/// @param isSuspect tells whether the link to a dispatcher is suspect.
+/// @return the dispatchers that were first in a ranking and no longer are.
+std::set<std::string> demoteSuspects(QueryPlan &plan,
+                                     const std::function<bool(const std::string &)> &isSuspect);
+
 /// Pins snapshots and selects shards on one view, which must outlive the planner.
 class QueryPlanner
 {
