Choose replicas by the median of their last five latencies

With one straggler per service the managed policy sent about half of the work to the stragglers: the choice compared in-flight work first, and the long-term median behind it needs hundreds of answers to move; an upstream without ten answers even counted as the fastest. Hedges that win cancel the slow attempt, so a new straggler never got its ten answers.

The choice now weights the median of the last five attempts with the in-flight work relative to the limit. An attempt that is given up counts as a lower bound. Each idle upstream that was passed over 100 times gets one primary execution, and one answer three times faster than the median ends a slow phase.

--- a/state/replica_set.cpp
+++ b/state/replica_set.cpp
@@ -25,8 +25,9 @@
         replica.available = false;
     for (const auto &host : settings.available) {
         const UpstreamRamp fresh(settings.coldLimit, settings.share, settings.ramp);
-        auto &replica = replicas_.try_emplace(host.name, Replica{host, fresh, true, 0, {}, {}})
-                                .first->second;
+        auto &replica =
+                replicas_.try_emplace(host.name, Replica{host, fresh, true, 0, 0, {}, {}, {}})
+                        .first->second;
         if (replica.host.address != host.address)
             replica.ramp = fresh;
         replica.host = host;
@@ -44,6 +45,14 @@
     bool anyAvailable = false;
     bool anyHolds = false;
     bool anyPreferred = false;
+    const bool primary = excluded.empty();
+    const auto unknown = lowestLatency();
+    const auto isBetter = [primary, unknown](const Replica &candidate, const Replica &best) {
+        const bool probe = primary && candidate.isProbeDue();
+        if (probe != (primary && best.isProbeDue()))
+            return probe;
+        return cost(candidate, unknown) < cost(best, unknown);
+    };
     const Replica *best = nullptr;
     for (const auto &[name, replica] : replicas_) {
         if (!replica.available)
@@ -76,14 +85,24 @@
     return found != missing.end() && now < found->second;
 }
 
-bool ReplicaSet::isBetter(const Replica &candidate, const Replica &best)
+Duration ReplicaSet::lowestLatency() const
 {
-    const auto candidateLoad = candidate.inFlight * best.ramp.limit();
-    const auto bestLoad = best.inFlight * candidate.ramp.limit();
-    if (candidateLoad != bestLoad)
-        return candidateLoad < bestLoad;
-    return candidate.ramp.latency().median().value_or(Duration(0))
-           < best.ramp.latency().median().value_or(Duration(0));
+    auto lowest = Duration::max();
+    for (const auto &[name, replica] : replicas_)
+        lowest = std::min(lowest, replica.recent.median().value_or(lowest));
+    return lowest;
+}
+
+double ReplicaSet::cost(const Replica &replica, Duration unknown)
+{
+    const double load = static_cast<double>(replica.inFlight) / replica.ramp.limit();
+    return (1 + load) * static_cast<double>(replica.recent.median().value_or(unknown).count());
+}
+
+std::optional<Duration> ReplicaSet::recentLatency(const std::string &name) const
+{
+    const auto found = replicas_.find(name);
+    return found == replicas_.end() ? std::nullopt : found->second.recent.median();
 }
 
 bool ReplicaSet::hasCapacity() const
@@ -103,7 +122,11 @@
 
 void ReplicaSet::onStarted(const std::string &name)
 {
-    ++replicas_.at(name).inFlight;
+    for (auto &[other, replica] : replicas_)
+        ++replica.passedOver;
+    auto &started = replicas_.at(name);
+    started.passedOver = 0;
+    ++started.inFlight;
 }
 
 void ReplicaSet::onEnded(const std::string &name, const AttemptResult &result,
@@ -118,6 +141,7 @@
     switch (result.end) {
     case AttemptEnd::Answered:
         replica.ramp.onSuccess(result.incarnation, latency);
+        replica.recent.record(latency);
         break;
     case AttemptEnd::Shed:
         replica.ramp.onShed();
@@ -136,6 +160,7 @@
     case AttemptEnd::Cancelled:
     case AttemptEnd::TimedOut:
         replica.ramp.onUnfinished(latency);
+        replica.recent.recordUnfinished(latency);
         break;
     case AttemptEnd::Lost:
         replica.avoidUntil = now + AvoidTime;
--- a/state/replica_set.h
+++ b/state/replica_set.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "state/recent_latency.h"
 #include "state/scheduler_actions.h"
 #include "state/upstream_ramp.h"
 
@@ -31,6 +32,9 @@
 class ReplicaSet
 {
 public:
+    /// With one primary in 100 as a probe, a query over 20 shards still meets none in most cases.
+    static constexpr std::uint32_t ProbeInterval = 100;
+
     /// What choose() found.
     enum class Availability { Found, Busy, SnapshotMissing, NoUpstream };
     struct Choice
@@ -50,9 +54,10 @@
 
     void configure(const ServiceSettings &settings);
 
-    /// Chooses the upstream with the least in-flight work relative to its limit, then the one with
-    /// the lower median latency.
-    /// @param excluded names that are not chosen.
+    /// Chooses the upstream with the lowest recent latency, weighted with its in-flight work
+    /// relative to its limit. An idle upstream that was passed over ProbeInterval times gets one
+    /// primary execution, so that a slow one that has recovered is found.
+    /// @param excluded names that are not chosen; without a name the choice is for a primary.
     Choice choose(std::uint64_t snapshot, const std::set<std::string> &excluded,
                   TimePoint now) const;
 
@@ -62,6 +67,9 @@
     /// @return executions that all available upstreams may run at the same time.
     std::size_t totalLimit() const;
 
+    /// @return median of the recent latencies of an upstream, if there are any.
+    std::optional<Duration> recentLatency(const std::string &name) const;
+
     void onStarted(const std::string &name);
 
     /// @param snapshot snapshot that the attempt asked for.
@@ -78,15 +86,21 @@
         UpstreamRamp ramp;
         bool available = true;
         std::uint32_t inFlight = 0;
+        /// Executions that other upstreams got since the last one here.
+        std::uint32_t passedOver = 0;
+        RecentLatency recent;
         /// Not chosen before this time while another upstream is available.
         TimePoint avoidUntil{};
         /// Until when each snapshot is known to be missing.
         std::map<std::uint64_t, TimePoint> missing;
 
         bool lacks(std::uint64_t snapshot, TimePoint now) const;
+        bool isProbeDue() const { return inFlight == 0 && passedOver >= ProbeInterval; }
     };
 
-    static bool isBetter(const Replica &candidate, const Replica &best);
+    /// @return the lowest recent latency of any upstream, which stands for unknown ones.
+    Duration lowestLatency() const;
+    static double cost(const Replica &replica, Duration unknown);
 
     std::map<std::string, Replica> replicas_;
 };
--- a/state/state.h
+++ b/state/state.h
@@ -14,6 +14,7 @@
 #include "state/ownership.h"
 #include "state/query_merge.h"
 #include "state/query_planner.h"
+#include "state/recent_latency.h"
 #include "state/replica_set.h"
 #include "state/request_id.h"
 #include "state/scheduler_actions.h"
