Spend hedge tokens on stragglers only

In a steady service 5% of all answers are later than the 95th percentile. The hedges of these used up the default budget of 0.05, so that nothing was left when a straggler appeared; and hedges of fast upstreams went to the straggler.

A hedge now waits for at least two medians, and is not sent to an upstream whose recent median is above the hedge delay. Probes of passed-over upstreams are made only with work that may be hedged, so not with canaries and non-repeatable requests.

--- a/misc/measure_policy.sh
+++ b/misc/measure_policy.sh
@@ -22,6 +22,8 @@
 MeanOverMedian=1.0202
 SeatFinderServers=2
 WarmUpS=4
+# The rate is low, so that the 99th percentile needs a longer run.
+StragglerSecondsFactor=3
 DomainLeavesAfterS=3
 DomainReturnsAfterS=9
 
@@ -63,7 +65,7 @@
   fi
   case $1 in
     # At this rate a straggler that naive gives half of the work to is still below its capacity.
-    straggler) set_load matinee-listing=1,access-check=1 16 $ServiceTimeMs ;;
+    straggler) set_load matinee-listing=3,access-check=1 16 $ServiceTimeMs ;;
     domain | everything) set_load matinee-listing=2,access-check=2,deposit=1 50 $ServiceTimeMs ;;
     overload)
       # The archive search is put on the same group, so that all three priorities compete.
@@ -126,6 +128,7 @@
   inject "$scenario"
   standin_state >"$result.before"
   case $scenario in
+    straggler) load_s=$((seconds * StragglerSecondsFactor)) ;;
     domain | everything)
       load_s=$((DomainReturnsAfterS + 5))
       domain_leaves_and_returns &
--- a/state/replica_set.cpp
+++ b/state/replica_set.cpp
@@ -40,16 +40,15 @@
 }
 
 ReplicaSet::Choice ReplicaSet::choose(std::uint64_t snapshot, const std::set<std::string> &excluded,
-                                      TimePoint now) const
+                                      TimePoint now, bool mayProbe) const
 {
     bool anyAvailable = false;
     bool anyHolds = false;
     bool anyPreferred = false;
-    const bool primary = excluded.empty();
     const auto unknown = lowestLatency();
-    const auto isBetter = [primary, unknown](const Replica &candidate, const Replica &best) {
-        const bool probe = primary && candidate.isProbeDue();
-        if (probe != (primary && best.isProbeDue()))
+    const auto isBetter = [mayProbe, unknown](const Replica &candidate, const Replica &best) {
+        const bool probe = mayProbe && candidate.isProbeDue();
+        if (probe != (mayProbe && best.isProbeDue()))
             return probe;
         return cost(candidate, unknown) < cost(best, unknown);
     };
--- a/state/replica_set.h
+++ b/state/replica_set.h
@@ -55,11 +55,13 @@
     void configure(const ServiceSettings &settings);
 
     /// Chooses the upstream with the lowest recent latency, weighted with its in-flight work
-    /// relative to its limit. An idle upstream that was passed over ProbeInterval times gets one
-    /// primary execution, so that a slow one that has recovered is found.
-    /// @param excluded names that are not chosen; without a name the choice is for a primary.
-    Choice choose(std::uint64_t snapshot, const std::set<std::string> &excluded,
-                  TimePoint now) const;
+    /// relative to its limit.
+    /// @param excluded names that are not chosen.
+    /// @param mayProbe whether an idle upstream that was passed over ProbeInterval times is chosen
+    ///        first, so that a slow one that has recovered is found. Only for work that may be
+    ///        hedged.
+    Choice choose(std::uint64_t snapshot, const std::set<std::string> &excluded, TimePoint now,
+                  bool mayProbe = false) const;
 
     /// @return whether any available upstream is below its limit.
     bool hasCapacity() const;
--- a/state/service_scheduler.cpp
+++ b/state/service_scheduler.cpp
@@ -14,6 +14,10 @@
 /// Delay of a hedge before enough answers were observed.
 constexpr std::chrono::milliseconds AssumedHedgeDelay{50};
 constexpr std::chrono::milliseconds LeastHedgeDelay{5};
+/// In a steady service 5% of the answers are later than the 95th percentile, and hedges of these
+/// would use up the default budget. The delay is at least this many medians, so that the tokens are
+/// left for stragglers.
+constexpr int LeastHedgeMedians = 2;
 /// An attempt without an answer after this many hedge delays is given up once it is hedged.
 constexpr int SilenceFactor = 4;
 /// Bound of the queue when the observed execution time is tiny.
@@ -193,7 +197,12 @@
         return;
     const auto choice =
             replicas_.choose(sub.work.snapshot, {sub.attempts.front().upstream.name}, now);
-    if (choice.availability != ReplicaSet::Availability::Found || !budget_.tryTake())
+    if (choice.availability != ReplicaSet::Availability::Found)
+        return;
+    // A straggler would answer too late, and the token is worth more for work that runs on one.
+    if (replicas_.recentLatency(choice.upstream.name).value_or(Duration(0)) > hedgeDelay())
+        return;
+    if (!budget_.tryTake())
         return;
     sub.hedged = true;
     start(actions, sub, choice.upstream, AttemptKind::Hedge, now);
@@ -260,7 +269,8 @@
         sub.waiting = false;
         if (sub.work.canary)
             gate_.enter(sub.work.fingerprint, *id);
-        const auto choice = replicas_.choose(sub.work.snapshot, {}, now);
+        const bool mayProbe = hedging_ && sub.work.repeatable && !sub.work.canary;
+        const auto choice = replicas_.choose(sub.work.snapshot, {}, now, mayProbe);
         start(actions, sub, choice.upstream, sub.nextKind, now);
         setDue(sub, sub.work.repeatable ? std::min(sub.work.deadline, now + hedgeDelay())
                                         : sub.work.deadline + LateAnswerTime);
@@ -379,7 +389,8 @@
 Duration ServiceScheduler::hedgeDelay() const
 {
     const Duration observed = latency_.percentile95().value_or(AssumedHedgeDelay);
-    return std::max<Duration>(observed, LeastHedgeDelay);
+    const Duration typical = latency_.median().value_or(Duration(0));
+    return std::max<Duration>({observed, LeastHedgeDelay, typical * LeastHedgeMedians});
 }
 
 } // namespace persimmon::state
