--- a/state/state.h
+++ b/state/state.h
@@ -16,6 +16,7 @@
 #include "state/profile_budgets.h"
 #include "state/query_merge.h"
 #include "state/query_planner.h"
+#include "state/recent_latency.h"
 #include "state/replica_set.h"
 #include "state/request_id.h"
 #include "state/scheduler_actions.h"
