Send the changes of the host list instead of the whole list

A reply carries the rows after the asker's revision and a digest of the whole list; a delta that does not lead to the digest is dropped and the next request asks for the whole list. A digest is needed, since an agent that reads revisions 5 and 9 does not see a row that changed in between and changed back.

A host that starts still gets the whole list once. Ruled out: a revision for each row, which costs memory per fleet member and does not detect the case above. The interface of the service is as before, so the watchers still read whole lists from it.

--- a/protocol/view_codec.cpp
+++ b/protocol/view_codec.cpp
@@ -54,6 +54,23 @@
     return rows;
 }
 
+json::object deltaObject(const HostsDelta &delta)
+{
+    json::array removed;
+    for (const auto &name : delta.removed)
+        removed.emplace_back(name);
+    return {{"changed", hostsArray(delta.changed)}, {"removed", std::move(removed)}};
+}
+
+HostsDelta readDelta(const JsonReader &reader)
+{
+    HostsDelta delta;
+    delta.changed = readHosts(reader.member("changed"));
+    reader.member("removed").forEach(
+            [&](const JsonReader &row) { delta.removed.push_back(row.name()); });
+    return delta;
+}
+
 std::vector<QuarantineEntry> readQuarantine(const JsonReader &reader)
 {
     std::vector<QuarantineEntry> entries;
@@ -136,6 +153,11 @@
     reply.entries = readEntries(reader.member("entries"));
     if (reader.has("hosts"))
         reply.hosts = readHosts(reader.member("hosts"));
+    if (reader.has("hosts_delta"))
+        reply.hostsDelta = readDelta(reader.member("hosts_delta"));
+    // Processes of the version before send whole lists only, without a digest.
+    if (reader.has("hosts_digest"))
+        reply.hostsDigest = reader.member("hosts_digest").integer();
     // An agent that lost the service long ago reports a high age, which is no fault.
     reply.confirmedAge =
             reader.member("confirmed_age_ms")
@@ -164,6 +186,9 @@
     body["entries"] = entriesArray(reply.entries);
     if (reply.hosts)
         body["hosts"] = hostsArray(*reply.hosts);
+    if (reply.hostsDelta)
+        body["hosts_delta"] = deltaObject(*reply.hostsDelta);
+    body["hosts_digest"] = reply.hostsDigest;
     body["confirmed_age_ms"] = millisecondCount(reply.confirmedAge);
     body["ready"] = reply.ready;
     return json::serialize(body);
--- a/protocol/view_messages.h
+++ b/protocol/view_messages.h
@@ -43,6 +43,17 @@
     bool operator==(const EntryIncarnation &) const = default;
 };
 
+/// Rows of the host list that changed between two revisions.
+struct HostsDelta
+{
+    /// New and changed rows.
+    std::vector<HostRecord> changed;
+    /// Names of removed rows.
+    std::vector<std::string> removed;
+
+    bool operator==(const HostsDelta &) const = default;
+};
+
 /// What the asker of an exchange holds, and what it reports.
 struct ViewRequest
 {
@@ -68,7 +79,11 @@
     std::uint64_t configDigest = 0;
     std::vector<ConfigEntry> entries;
     std::uint64_t hostsRevision = 0;
+    /// Hash over all host rows of the answerer, to check a list that was updated by a delta.
+    std::uint64_t hostsDigest = 0;
+    /// The whole list, when the answerer cannot state what changed since the asker's revision.
     std::optional<std::vector<HostRecord>> hosts;
+    std::optional<HostsDelta> hostsDelta;
     std::vector<QuarantineEntry> quarantine;
     std::vector<LeavingEntry> leaving;
     std::vector<EntryIncarnation> incarnations;
--- a/state/state.h
+++ b/state/state.h
@@ -9,6 +9,7 @@
 #include "state/extra_load_budget.h"
 #include "state/fingerprint.h"
 #include "state/gossip_table.h"
+#include "state/host_list.h"
 #include "state/idempotency_store.h"
 #include "state/latency_record.h"
 #include "state/ownership.h"
--- a/state/view_store.cpp
+++ b/state/view_store.cpp
@@ -1,6 +1,7 @@
 #include "state/view_store.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace persimmon::state {
 
@@ -35,19 +36,20 @@
 
 ViewUpdate ViewStore::applyHosts(const protocol::HostsReply &reply, TimePoint now)
 {
-    if (reply.revision >= hostsRevision_)
+    if (reply.revision >= hosts_.revision())
         hostsConfirmedAt_ = now;
-    return finish({mergeHosts(reply.revision, reply.hosts), {}});
+    return finish({reply.hosts && hosts_.replace(reply.revision, *reply.hosts), {}});
 }
 
-bool ViewStore::mergeHosts(std::uint64_t revision,
-                           const std::optional<std::vector<protocol::HostRecord>> &hosts)
+bool ViewStore::mergeHosts(const protocol::ViewReply &reply)
 {
-    if (revision <= hostsRevision_ || !hosts)
+    if (reply.hosts)
+        return hosts_.replace(reply.hostsRevision, *reply.hosts);
+    if (!reply.hostsDelta || reply.hostsRevision <= hosts_.revision())
         return false;
-    hostsRevision_ = revision;
-    hosts_ = *hosts;
-    return true;
+    const bool merged = hosts_.apply(reply.hostsRevision, *reply.hostsDelta, reply.hostsDigest);
+    hostsDiffer_ = !merged;
+    return merged;
 }
 
 template <typename Message>
@@ -84,7 +86,7 @@
     request.host = host_;
     request.configRevision = config_.revision();
     request.configDigest = config_.digest();
-    request.hostsRevision = hostsRevision_;
+    request.hostsRevision = std::exchange(hostsDiffer_, false) ? 0 : hosts_.revision();
     request.wantAll =
             digestsDiffer_ && (!lastFullRequest_ || now - *lastFullRequest_ >= FullRequestInterval);
     if (request.wantAll)
@@ -96,15 +98,16 @@
 ViewUpdate ViewStore::applyReply(const protocol::ViewReply &reply, TimePoint sentAt, TimePoint now)
 {
     const bool isCurrent = reply.configRevision >= config_.revision()
-                           && reply.hostsRevision >= hostsRevision_ && reply.ready;
+                           && reply.hostsRevision >= hosts_.revision() && reply.ready;
     auto update = mergeRows(reply, now);
     update.changes = config_.merge(reply.entries, reply.host);
     update.changed |= !update.changes.empty() || reply.configRevision > config_.revision();
     config_.noteRevision(reply.configRevision);
-    update.changed |= mergeHosts(reply.hostsRevision, reply.hosts);
+    update.changed |= mergeHosts(reply);
     digestsDiffer_ =
             reply.configRevision == config_.revision() && reply.configDigest != config_.digest();
-    if (isCurrent && reply.confirmedAge < UnconfirmedAge) {
+    const bool hasHosts = hosts_.revision() >= reply.hostsRevision;
+    if (isCurrent && hasHosts && reply.confirmedAge < UnconfirmedAge) {
         const auto confirmedAt = sentAt - reply.confirmedAge;
         configConfirmedAt_ = std::max(configConfirmedAt_.value_or(confirmedAt), confirmedAt);
         hostsConfirmedAt_ = std::max(hostsConfirmedAt_.value_or(confirmedAt), confirmedAt);
@@ -125,9 +128,13 @@
     reply.configDigest = config_.digest();
     if (request.wantAll || request.configDigest != config_.digest())
         reply.entries = config_.entriesSince(request.wantAll ? 0 : request.configRevision);
-    reply.hostsRevision = hostsRevision_;
-    if (hostsRevision_ > request.hostsRevision)
-        reply.hosts = hosts_;
+    reply.hostsRevision = hosts_.revision();
+    reply.hostsDigest = hosts_.digest();
+    if (hosts_.revision() > request.hostsRevision) {
+        reply.hostsDelta = hosts_.since(request.hostsRevision);
+        if (!reply.hostsDelta)
+            reply.hosts = hosts_.all();
+    }
     writeRows(reply, now, request.hostsRevision == 0);
     std::erase_if(reply.incarnations, [&](const auto &row) {
         return std::find(request.incarnations.begin(), request.incarnations.end(), row)
@@ -195,16 +202,13 @@
 
 void ViewStore::fillHosts(ClusterView &view) const
 {
-    for (const auto &host : hosts_) {
+    // The list is in the order of names, so that the upstreams of a service are too.
+    hosts_.forEach([&](const auto &host) {
         if (host.kind == protocol::HostKind::Entry)
             view.entryHosts[host.name] = host;
         else
             view.upstreams[host.service].push_back(host);
-    }
-    for (auto &[service, upstreams] : view.upstreams) {
-        std::sort(upstreams.begin(), upstreams.end(),
-                  [](const auto &left, const auto &right) { return left.name < right.name; });
-    }
+    });
 }
 
 std::shared_ptr<const ClusterView> ViewStore::view()
--- a/state/view_store.h
+++ b/state/view_store.h
@@ -3,6 +3,7 @@
 #include "state/cluster_view.h"
 #include "state/config_store.h"
 #include "state/gossip_table.h"
+#include "state/host_list.h"
 
 #include <memory>
 
@@ -78,7 +79,7 @@
     Duration confirmedAge(TimePoint now) const;
 
     const ConfigStore &config() const { return config_; }
-    std::uint64_t hostsRevision() const { return hostsRevision_; }
+    std::uint64_t hostsRevision() const { return hosts_.revision(); }
     /// @return version of the incarnation row of @p host; 0 when unknown.
     std::uint64_t incarnationVersion(const std::string &host) const;
 
@@ -103,15 +104,15 @@
     ViewUpdate mergeRows(const Message &message, TimePoint now);
     template <typename Message>
     void writeRows(Message &message, TimePoint now, bool all);
-    bool mergeHosts(std::uint64_t revision,
-                    const std::optional<std::vector<protocol::HostRecord>> &hosts);
+    bool mergeHosts(const protocol::ViewReply &reply);
     ViewUpdate finish(ViewUpdate update);
     void fillHosts(ClusterView &view) const;
 
     std::string host_;
     ConfigStore config_;
-    std::uint64_t hostsRevision_ = 0;
-    std::vector<protocol::HostRecord> hosts_;
+    HostList hosts_;
+    /// Whether a delta did not lead to the answerer's list, so that the next request asks for all.
+    bool hostsDiffer_ = false;
     GossipTable<std::uint64_t, Quarantined> quarantine_;
     GossipTable<std::string, Leaving> leaving_;
     GossipTable<std::string, protocol::EntryIncarnation> incarnations_;
--- a/tests/state/test_view_store.cpp
+++ b/tests/state/test_view_store.cpp
@@ -150,6 +150,40 @@
     CHECK(store.confirmedAge(Start + 10s) == 10s);
 }
 
+// Guards against a host list that travels whole after each change, and against a delta of a sender
+// that missed a row which changed and changed back between two of its reads.
+TEST_CASE("host lists travel as deltas and a delta that does not fit is replaced by the whole list")
+{
+    const auto rows = [](std::size_t count) {
+        std::vector<protocol::HostRecord> hosts;
+        for (std::size_t i = 0; i < count; ++i)
+            hosts.push_back({"h" + std::to_string(i), protocol::HostKind::Entry, "a", "d", "", {}});
+        return hosts;
+    };
+    ViewStore sender("h1");
+    ViewStore receiver("h2");
+    auto changed = rows(3);
+    changed[0].state = protocol::HostState::Leaving;
+    sender.applyHosts({1, rows(3)}, Start);
+    exchange(receiver, sender, Start);
+    sender.applyHosts({2, std::vector(changed.begin(), changed.begin() + 2)}, Start);
+    const auto reply = sender.makeReply(receiver.makeRequest(Start), Start);
+    CHECK_FALSE(reply.hosts);
+    REQUIRE(reply.hostsDelta);
+    CHECK(reply.hostsDelta->changed == std::vector{changed[0]});
+    CHECK(reply.hostsDelta->removed == std::vector<std::string>{"h2"});
+    receiver.applyReply(reply, Start, Start);
+    CHECK(receiver.view()->entryHosts == sender.view()->entryHosts);
+
+    receiver.applyHosts({3, rows(9)}, Start);
+    sender.applyHosts({4, std::vector(changed.begin(), changed.begin() + 2)}, Start);
+    exchange(receiver, sender, Start);
+    CHECK(receiver.hostsRevision() == 3);
+    exchange(receiver, sender, Start);
+    CHECK(receiver.hostsRevision() == 4);
+    CHECK(receiver.view()->entryHosts == sender.view()->entryHosts);
+}
+
 // Guards against rows that outlive their expiry because each exchange restarts it, and against a
 // restarted entry that stays marked as leaving.
 TEST_CASE("quarantine and leaving rows spread, expire everywhere and end with the incarnation")
