Share the maps of hosts between cluster views

Each change, even of one configuration key or one incarnation row, built the whole ClusterView anew.

The two maps of hosts are now SharedMap, which copies its content only when it is written while others hold it. ViewStore fills them when the host list's revision changes and lets the next views share them.

Ruled out: changing a view in place, since running queries hold it.

--- a/state/cluster_view.h
+++ b/state/cluster_view.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "protocol/protocol.h"
+#include "state/shared_map.h"
 
 #include <cstdint>
 #include <functional>
@@ -23,10 +24,10 @@
     std::map<std::string, protocol::GroupIndex, std::less<>> indexes;
     std::set<std::string, std::less<>> outDomains;
     std::set<std::string, std::less<>> outHosts;
-    /// Entry hosts by name.
-    std::map<std::string, protocol::HostRecord, std::less<>> entryHosts;
+    /// Entry hosts by name. Views between two changes of the host list share both maps of hosts.
+    SharedMap<std::string, protocol::HostRecord> entryHosts;
     /// Upstreams by service; within a service in the order of their names.
-    std::map<std::string, std::vector<protocol::HostRecord>, std::less<>> upstreams;
+    SharedMap<std::string, std::vector<protocol::HostRecord>> upstreams;
     std::set<std::uint64_t> quarantined;
     /// Entry hosts that announced their shutdown.
     std::set<std::string, std::less<>> leavingHosts;
--- a/state/view_store.cpp
+++ b/state/view_store.cpp
@@ -200,8 +200,13 @@
     return now - std::min(*configConfirmedAt_, *hostsConfirmedAt_);
 }
 
-void ViewStore::fillHosts(ClusterView &view) const
+void ViewStore::shareHosts(ClusterView &view)
 {
+    if (lastView_ && lastViewHosts_ == hosts_.revision()) {
+        view.entryHosts = lastView_->entryHosts;
+        view.upstreams = lastView_->upstreams;
+        return;
+    }
     // The list is in the order of names, so that the upstreams of a service are too.
     hosts_.forEach([&](const auto &host) {
         if (host.kind == protocol::HostKind::Entry)
@@ -217,7 +222,7 @@
         return view_;
     const auto view = std::make_shared<ClusterView>();
     config_.fill(*view);
-    fillHosts(*view);
+    shareHosts(*view);
     quarantine_.forEach([&](const auto &row) { view->quarantined.insert(row.fingerprint); });
     incarnations_.forEach([&](const auto &row) { view->incarnations[row.host] = row; });
     leaving_.forEach([&](const auto &row) {
@@ -227,6 +232,8 @@
             view->leavingHosts.insert(row.host);
     });
     view_ = view;
+    lastView_ = view;
+    lastViewHosts_ = hosts_.revision();
     return view_;
 }
 
--- a/state/view_store.h
+++ b/state/view_store.h
@@ -106,7 +106,7 @@
     void writeRows(Message &message, TimePoint now, bool all);
     bool mergeHosts(const protocol::ViewReply &reply);
     ViewUpdate finish(ViewUpdate update);
-    void fillHosts(ClusterView &view) const;
+    void shareHosts(ClusterView &view);
 
     std::string host_;
     ConfigStore config_;
@@ -121,6 +121,9 @@
     std::optional<TimePoint> lastFullRequest_;
     bool digestsDiffer_ = false;
     bool ready_ = false;
+    /// View whose maps of hosts belong to hostsRevision().
+    std::shared_ptr<const ClusterView> lastView_;
+    std::uint64_t lastViewHosts_ = 0;
     std::shared_ptr<const ClusterView> view_;
 };
 
--- a/tests/state/test_view_store.cpp
+++ b/tests/state/test_view_store.cpp
@@ -175,7 +175,14 @@
     receiver.applyReply(reply, Start, Start);
     CHECK(receiver.view()->entryHosts == sender.view()->entryHosts);
 
+    // Views that are in use must neither be rebuilt by a configuration change nor changed by a new
+    // host list.
+    const auto held = receiver.view();
+    receiver.applyConfig({1, {outDomains(1, R"(["a"])")}}, Start);
+    CHECK(&receiver.view()->entryHosts.at("h0") == &held->entryHosts.at("h0"));
     receiver.applyHosts({3, rows(9)}, Start);
+    CHECK(receiver.view()->entryHosts.size() == 9);
+    CHECK(held->entryHosts.size() == 2);
     sender.applyHosts({4, std::vector(changed.begin(), changed.begin() + 2)}, Start);
     exchange(receiver, sender, Start);
     CHECK(receiver.hostsRevision() == 3);
