--- a/entry/entry_server.cpp
+++ b/entry/entry_server.cpp
@@ -51,15 +51,6 @@
     return options;
 }
 
-std::string_view errorName(CallerError error)
-{
-    for (const auto &row : protocol::CallerErrorTable) {
-        if (row.error == error)
-            return row.name;
-    }
-    return "none";
-}
-
 } // namespace
 
 EntryServer::EntryServer(transport::Runtime &runtime, transport::Metrics &metrics, EntryHooks hooks,
@@ -169,9 +160,15 @@
     if (!isOk(decoded))
         co_return protocol::makeRefusal(CallerError::MalformedBody, errorOf(decoded).message);
     auto request = takeValue(decoded);
-    const auto id = request.requestId.value_or("");
+    const auto id = request.requestId;
+    RefusalRow row;
+    row.caller = request.caller;
+    row.profile = request.profile;
     auto answer = co_await runQuery(std::move(request));
-    answer.requestId = id;
+    if (id)
+        answer.requestId = *id;
+    if (answer.outcome != protocol::Outcome::Done)
+        logRefusal(std::move(row), answer);
     co_return answer;
 }
 
@@ -233,10 +230,22 @@
     return answer;
 }
 
+void EntryServer::logRefusal(RefusalRow row, const QueryAnswer &answer)
+{
+    const auto view = hooks_.view();
+    row.time = std::chrono::system_clock::now();
+    row.requestId = answer.requestId;
+    row.outcome = answer.outcome;
+    row.error = answer.error;
+    row.message = answer.message;
+    row.configRevision = view ? view->configRevision : 0;
+    refusals_.add(std::move(row));
+}
+
 void EntryServer::record(const QueryAnswer &answer)
 {
     const auto outcome = std::string(enumName(protocol::OutcomeNames, answer.outcome));
-    const auto error = std::string(errorName(answer.error));
+    const auto error = std::string(protocol::callerErrorName(answer.error));
     metrics_.counter("persimmon_entry_queries_total", "Queries by outcome and error.",
                      "outcome=\"" + outcome + "\",error=\"" + error + "\"")
             .add();
--- a/entry/entry_server.h
+++ b/entry/entry_server.h
@@ -2,6 +2,7 @@
 
 #include "entry/locator.h"
 #include "entry/non_repeatable_executor.h"
+#include "entry/refusal_log.h"
 
 namespace persimmon::entry {
 
@@ -37,6 +38,9 @@
     /// Tests the entries that locate answers name; runs for the life of the process.
     boost::asio::awaitable<void> watchEntries() { return prober_.watch(); }
 
+    /// @return the last requests that did not end as done.
+    const RefusalLog &refusals() const { return refusals_; }
+
 private:
     boost::asio::awaitable<transport::HttpResponse> handle(transport::HttpRequest request);
     transport::HttpResponse handleLocate(const std::string &target);
@@ -47,6 +51,7 @@
     boost::asio::awaitable<bool> isViewVerified();
     protocol::QueryAnswer refuseShutdown(const std::string &caller);
     bool isInService() const;
+    void logRefusal(RefusalRow row, const protocol::QueryAnswer &answer);
     void record(const protocol::QueryAnswer &answer);
 
     transport::Runtime &runtime_;
@@ -57,6 +62,7 @@
     EntryProber prober_;
     const Locator locator_;
     NonRepeatableExecutor nonRepeatable_;
+    RefusalLog refusals_;
     std::atomic<bool> refusing_ = false;
     std::atomic<bool> stopping_ = false;
     transport::HttpServer server_;
--- a/entry/query_run.cpp
+++ b/entry/query_run.cpp
@@ -307,6 +307,7 @@
 protocol::QueryAnswer QueryRun::makeAnswer()
 {
     auto answer = merge_->answer(now());
+    answer.requestId = requestId_;
     answer.executions += earlierExecutions_;
     if (answer.outcome == Outcome::NotRun && earlierMayHaveRun_) {
         answer.outcome = Outcome::Unknown;
--- a/load/load_report.cpp
+++ b/load/load_report.cpp
@@ -93,10 +93,8 @@
     }
     ++(answer.outcome == protocol::Outcome::NotRun ? counts.notRun : counts.unknown);
     counts.needed += answer.coverage ? answer.coverage->shards : 0;
-    for (const auto &row : protocol::CallerErrorTable) {
-        if (row.error == answer.error)
-            ++counts.errors[std::string(row.name)];
-    }
+    if (answer.error != protocol::CallerError::None)
+        ++counts.errors[std::string(protocol::callerErrorName(answer.error))];
 }
 
 void LoadReport::addFailure(const std::string &profile, const std::string &reason)
--- a/main/persimmon_entry.cpp
+++ b/main/persimmon_entry.cpp
@@ -130,6 +130,11 @@
         status["failure_domain"] = settings_.text("failure-domain");
         status["policy"] = settings_.text("policy");
     };
+    options.addMethods = [this](transport::RpcService &rpc) {
+        rpc.add("explain_refusal", [this](const Json::Value &parameters) {
+            return server_.refusals().explain(parameters.get("request_id", "").asString());
+        });
+    };
     return options;
 }
 
--- a/misc/check_mutations.sh
+++ b/misc/check_mutations.sh
@@ -70,7 +70,7 @@
   's/if \(id->home\.incarnation != identity_\.incarnation\)/if (id->unique.empty())/' \
   test_system 'a payment whose home is killed*'
 mutate refusal-not-recorded state/idempotency_store.cpp \
-  's/(Full, \{\}\};\n    \})/$1\n    if (refusal)\n        return {Admission::Refused, *refusal};/' \
+  's/records\.emplace\(unique, Record\{true, \*refusal, \{\}\}\);/size_.fetch_sub(1);/' \
   test_state '*'
 mutate snapshots-mixed state/query_merge.cpp \
   's/if \(result\.snapshot != plan_\.snapshot\)/if (result.shard.empty())/' test_state '*'
--- a/protocol/caller_codec.cpp
+++ b/protocol/caller_codec.cpp
@@ -13,15 +13,6 @@
 
 constexpr double MicrosecondsPerMillisecond = 1000;
 
-std::string_view errorName(CallerError error)
-{
-    for (const auto &row : CallerErrorTable) {
-        if (row.error == error)
-            return row.name;
-    }
-    return "none";
-}
-
 const CallerErrorInfo *findError(std::string_view name)
 {
     for (const auto &row : CallerErrorTable) {
@@ -157,7 +148,7 @@
 {
     json::object body{{"outcome", enumName(OutcomeNames, answer.outcome)}};
     if (answer.outcome != Outcome::Done) {
-        body["error"] = errorName(answer.error);
+        body["error"] = callerErrorName(answer.error);
         body["message"] = answer.message;
     }
     if (!answer.requestId.empty())
--- a/protocol/caller_messages.h
+++ b/protocol/caller_messages.h
@@ -77,6 +77,16 @@
         {CallerError::Incomplete, "incomplete", 504, Outcome::Unknown},
 }};
 
+/// @return the name of @p error in the table, or "none".
+constexpr std::string_view callerErrorName(CallerError error)
+{
+    for (const auto &row : CallerErrorTable) {
+        if (row.error == error)
+            return row.name;
+    }
+    return "none";
+}
+
 /// Answer to GET /v1/locate.
 struct LocateAnswer
 {
