Keep lower-ranked owners at the cold limit and test restarts with changing owners

Cause: two owners of one cold upstream each counted a warm-up of their own. With 4 or more slots and a cold limit of 1 a lower-ranked owner could rise to 2 after one success of its own, so that both together put 4 executions on an upstream that bore 3.

Change: a lower-ranked owner stays at the cold limit until its own successes have warmed the upstream up to all its slots. A test over two ramps checks the sum in 1,000 random schedules.

The system test restarts all of a group cold while owners change and dispatchers are lost.

--- a/state/replica_set.cpp
+++ b/state/replica_set.cpp
@@ -24,14 +24,14 @@
     for (auto &[name, replica] : replicas_)
         replica.available = false;
     for (const auto &host : settings.available) {
-        const UpstreamRamp fresh(settings.coldLimit, settings.share, settings.ramp);
+        const UpstreamRamp fresh(settings.coldLimit, settings.share, settings.slots, settings.ramp);
         auto &replica = replicas_.try_emplace(host.name, Replica{host, fresh, true, 0, {}, {}})
                                 .first->second;
         if (replica.host.address != host.address)
             replica.ramp = fresh;
         replica.host = host;
         replica.available = true;
-        replica.ramp.configure(settings.coldLimit, settings.share);
+        replica.ramp.configure(settings.coldLimit, settings.share, settings.slots);
     }
     std::erase_if(replicas_, [](const auto &row) {
         return !row.second.available && row.second.inFlight == 0;
--- a/state/replica_set.h
+++ b/state/replica_set.h
@@ -17,6 +17,8 @@
     std::vector<protocol::HostRecord> available;
     /// Executions that one upstream may get from this dispatcher.
     std::uint32_t share = 1;
+    /// Executions that one upstream runs at the same time; the share of a first owner.
+    std::uint32_t slots = 1;
     std::uint32_t coldLimit = 1;
     bool ramp = true;
     bool hedging = true;
--- a/state/upstream_ramp.cpp
+++ b/state/upstream_ramp.cpp
@@ -13,19 +13,30 @@
 
 } // namespace
 
-UpstreamRamp::UpstreamRamp(std::uint32_t coldLimit, std::uint32_t share, bool enabled)
+UpstreamRamp::UpstreamRamp(std::uint32_t coldLimit, std::uint32_t share, std::uint32_t slots,
+                           bool enabled)
     : coldLimit_(coldLimit),
       share_(share),
+      slots_(slots),
       enabled_(enabled)
 {
     restart();
 }
 
-void UpstreamRamp::configure(std::uint32_t coldLimit, std::uint32_t share)
+void UpstreamRamp::configure(std::uint32_t coldLimit, std::uint32_t share, std::uint32_t slots)
 {
     coldLimit_ = coldLimit;
     share_ = share;
-    limit_ = enabled_ ? std::min(limit_, share_) : share_;
+    slots_ = slots;
+    warmth_ = std::min(warmth_, slots_);
+}
+
+std::uint32_t UpstreamRamp::limit() const
+{
+    if (!enabled_ || warmth_ >= slots_)
+        return share_;
+    const bool partOwner = share_ < slots_;
+    return std::min({warmth_, share_, partOwner ? std::max(coldLimit_, 1U) : warmth_});
 }
 
 void UpstreamRamp::onSuccess(const std::string &incarnation, Duration latency)
@@ -38,9 +49,9 @@
         restart();
         return;
     }
-    if (limit_ >= share_ || ++successes_ < limit_)
+    if (warmth_ >= slots_ || ++successes_ < warmth_)
         return;
-    ++limit_;
+    ++warmth_;
     successes_ = 0;
 }
 
@@ -55,7 +66,7 @@
 {
     if (!enabled_)
         return;
-    limit_ = std::max<std::uint32_t>(1, limit_ / 2);
+    warmth_ = std::max<std::uint32_t>(1, warmth_ / 2);
     successes_ = 0;
 }
 
@@ -70,7 +81,7 @@
 
 void UpstreamRamp::restart()
 {
-    limit_ = enabled_ ? std::clamp<std::uint32_t>(coldLimit_, 1, std::max(share_, 1U)) : share_;
+    warmth_ = std::clamp<std::uint32_t>(coldLimit_, 1, std::max(slots_, 1U));
     successes_ = 0;
     slowAnswers_ = 0;
 }
--- a/state/upstream_ramp.h
+++ b/state/upstream_ramp.h
@@ -12,11 +12,12 @@
 class UpstreamRamp
 {
 public:
+    /// @param slots executions that a warm upstream runs at the same time.
     /// @param enabled false allows the whole share at once, for measurements.
-    UpstreamRamp(std::uint32_t coldLimit, std::uint32_t share, bool enabled);
+    UpstreamRamp(std::uint32_t coldLimit, std::uint32_t share, std::uint32_t slots, bool enabled);
 
-    /// Takes changed settings. The limit is kept, cut to the new share.
-    void configure(std::uint32_t coldLimit, std::uint32_t share);
+    /// Takes changed settings. What is known of the warm-up is kept.
+    void configure(std::uint32_t coldLimit, std::uint32_t share, std::uint32_t slots);
 
     /// Notes a success and its latency.
     void onSuccess(const std::string &incarnation, Duration latency);
@@ -34,15 +35,20 @@
     /// Starts again at the cold limit, for example after a connection reset.
     void restart();
 
-    std::uint32_t limit() const { return limit_; }
+    /// @return executions that may run at the same time. An owner of a part of the slots stays at
+    ///         the cold limit until its own successes have warmed the upstream up: a warm-up that
+    ///         two owners share is counted twice, and together they would exceed what it bears.
+    std::uint32_t limit() const;
     std::uint32_t share() const { return share_; }
     const LatencyRecord &latency() const { return latency_; }
 
 private:
     std::uint32_t coldLimit_;
     std::uint32_t share_;
+    std::uint32_t slots_;
     bool enabled_;
-    std::uint32_t limit_ = 1;
+    /// Executions that the upstream bears after this owner's successes.
+    std::uint32_t warmth_ = 1;
     std::uint32_t successes_ = 0;
     std::uint32_t slowAnswers_ = 0;
     std::string incarnation_;
--- a/tests/state/test_service_scheduler.cpp
+++ b/tests/state/test_service_scheduler.cpp
@@ -135,6 +135,7 @@
     {
         ServiceSettings settings;
         settings.share = share_;
+        settings.slots = share_;
         settings.coldLimit = coldLimit_;
         for (auto &[name, upstream] : upstreams_) {
             upstream.available = pick(5) != 0;
@@ -359,7 +360,7 @@
 {
     // Guards against the full load on an upstream that has just become cold.
     using std::chrono::milliseconds;
-    UpstreamRamp ramp(1, 4, true);
+    UpstreamRamp ramp(1, 4, 4, true);
     for (int i = 0; i < 30; ++i)
         ramp.onSuccess("a", milliseconds(2));
     CHECK(ramp.limit() == 4);
@@ -374,3 +375,25 @@
         ramp.onSuccess("b", milliseconds(100));
     CHECK(ramp.limit() == 1);
 }
+
+TEST_CASE("two owners of a cold upstream stay together within what it bears")
+{
+    // Guards against two ramps that each count the warm-up and together exceed it. An upstream at
+    // limit L bears L + cold_limit and rises by one after L successes.
+    constexpr std::uint32_t Slots = 6;
+    std::mt19937 random(1);
+    for (int schedule = 0; schedule < 1000; ++schedule) {
+        const std::uint32_t coldLimit = 1 + random() % 3;
+        std::array<UpstreamRamp, 2> owners{
+                UpstreamRamp(coldLimit, Slots, Slots, true),
+                UpstreamRamp(coldLimit, shareOfSlots(Slots, false), Slots, true)};
+        std::uint32_t bears = coldLimit;
+        std::uint32_t round = 0;
+        for (int success = 0; bears < Slots; ++success) {
+            CHECK(owners[0].limit() + owners[1].limit() <= bears + coldLimit);
+            owners.at(random() % 2).onSuccess("a", std::chrono::milliseconds(2));
+            if (++round >= bears)
+                ++bears, round = 0;
+        }
+    }
+}
--- a/tests/system/test_faults.cpp
+++ b/tests/system/test_faults.cpp
@@ -68,6 +68,56 @@
     std::thread thread_;
 };
 
+/// Cold overloads of a deployment whose upstreams have three slots and bear two executions when
+/// cold.
+struct ColdOverloads
+{
+    /// After all upstreams of a group have turned cold at once while they kept their connections.
+    std::int64_t unannounced = 0;
+    /// After all upstreams have restarted twice while owners changed and dispatchers were lost.
+    std::int64_t restarted = 0;
+    /// Queries that were done meanwhile.
+    int successes = 0;
+};
+
+/// @param ramp value of the dispatchers' setting "ramp".
+ColdOverloads countColdOverloads(const std::string &ramp)
+{
+    constexpr auto Group = "seat-finder";
+    ClusterOptions options;
+    options.deployment = "footlights";
+    // Slow executions keep all slots in use.
+    options.standinFlags = {"--cold", "--service-time", "40"};
+    options.dispatchFlags = {"--ramp", ramp};
+    Cluster cluster(options);
+    const json::object body{{"profile", "matinee-listing"},
+                            {"query", {{"op", "search"}, {"text", "matinee"}}}};
+    BackgroundLoad load(cluster, body, 24);
+    ColdOverloads counts;
+    std::this_thread::sleep_for(1s);
+    const auto started = counter(cluster, "cold_overloads");
+    cluster.fault({{"kind", "cold"}, {"group", Group}});
+    std::this_thread::sleep_for(1s);
+    counts.unannounced = counter(cluster, "cold_overloads") - started;
+    for (const int host : {2, 5}) {
+        std::this_thread::sleep_for(500ms);
+        cluster.fault({{"kind", "crash"}, {"group", Group}});
+        std::this_thread::sleep_for(520ms);
+        const json::array out{"h" + std::to_string(host)};
+        cluster.fault({{"kind", "config_set"}, {"key", "out/hosts"}, {"value", out}});
+        std::this_thread::sleep_for(30ms);
+        cluster.dispatchProcess(host + 1).kill();
+        std::this_thread::sleep_for(1s);
+    }
+    load.stop();
+    counts.restarted = counter(cluster, "cold_overloads") - counts.unannounced;
+    counts.successes = load.successes();
+    MESSAGE("ramp " << ramp << ": " << counts.restarted << " overloads at restarts, "
+                    << counts.unannounced << " after an unannounced cold start, "
+                    << counts.successes << " done");
+    return counts;
+}
+
 } // namespace
 
 // Guards against one query that takes down every upstream, whichever entry it is sent to.
@@ -151,6 +201,19 @@
     }));
 }
 
+// Guards against an overload of upstreams that return cold while their owners change, and against a
+// test that would pass without the ramp.
+TEST_CASE("a whole service that starts cold is overloaded only without the ramp")
+{
+    CHECK(countColdOverloads("off").restarted > 0);
+    const auto counts = countColdOverloads("on");
+    CHECK(counts.successes > 100);
+    CHECK(counts.restarted == 0);
+    // Three executions run on an upstream that turns cold, which bears two; without a sign of it
+    // the next one can overload each of the 40 upstreams once, not again.
+    CHECK(counts.unannounced <= 40);
+}
+
 // Guards against a cold upstream that gets more than it can bear, also when its owner is lost
 // during the ramp.
 TEST_CASE("upstreams that turn cold are not overloaded, also when owners change")
