Spread the first reads of agents that start at once

An agent read the service twice at its start and again every 0.5 s until something answered. 2,400 agents that start together made 4,800 reads at once and 9,600 reads/s while the service refused them, against its limit of 2,000 reads/s.

An agent now asks its peers first. The host list that it gets from them sets a random delay before the reads, such that all agents together make at most 1,600 reads/s. Failed attempts are repeated after a random time whose window doubles up to 8 s.

A fleet of which no agent is ready does not know its size, so its first burst of reads is not spread; only the repeated reads are. Ruled out: a fixed delay, which every single restart would pay.

--- a/coordination/agent.cpp
+++ b/coordination/agent.cpp
@@ -25,7 +25,8 @@
 /// A paused agent that reaches nobody for this long serves the view that it has, since a host
 /// without any contact would otherwise refuse all work for as long as it is cut off.
 constexpr auto RejoinLimit = 5s;
-constexpr auto JoinRetryInterval = 500ms;
+/// Reads of the service at a start: configuration and host list.
+constexpr std::size_t JoinReads = 2;
 
 } // namespace
 
@@ -110,21 +111,25 @@
 
 asio::awaitable<bool> Agent::State::joinOnce(PlatformClient &client)
 {
-    serviceReads.add(2);
-    const auto startedAt = now();
-    const bool hasConfig = co_await readConfigInto(store, client, runtime.clock(), 0ms);
-    const bool hasHosts = co_await readHostsInto(store, client, runtime.clock(), 0ms);
-    bool answered = hasConfig && hasHosts && store.read([&](auto &views) {
-        return views.confirmedAge(now()) <= now() - startedAt;
-    });
-    // Peers are asked too, since the service may have answered from a stale replica.
+    // Peers are asked too, since the service may have answered from a stale replica. They come
+    // first, since their host list tells how many agents may read the service at the same time.
     auto peers = choosePeers();
     peers.insert(peers.end(), options.peers.begin(), options.peers.end());
+    bool answered = false;
     for (const auto &peer : peers) {
         if (peer != options.address && co_await exchangeWith(peer))
             answered = true;
     }
-    co_return answered;
+    const auto hosts = store.view()->entryHosts.size();
+    co_await runtime.clock().sleep(startReadDelay(hosts, JoinReads));
+    serviceReads.add(JoinReads);
+    const auto startedAt = now();
+    const bool hasConfig = co_await readConfigInto(store, client, runtime.clock(), 0ms);
+    const bool hasHosts = co_await readHostsInto(store, client, runtime.clock(), 0ms);
+    const bool confirmed = hasConfig && hasHosts && store.read([&](auto &views) {
+        return views.confirmedAge(now()) <= now() - startedAt;
+    });
+    co_return answered || confirmed;
 }
 
 asio::awaitable<void> Agent::State::join()
@@ -133,12 +138,13 @@
     // An agent that was ready before the join has a view to go on with.
     const bool hasView = store.read([](auto &views) { return views.isComplete(); });
     PlatformClient client(co_await asio::this_coro::executor, options.service);
+    int attempts = 0;
     while (!stopped) {
         if (co_await joinOnce(client))
             break;
         if (hasView && now() - startedAt > RejoinLimit)
             break;
-        co_await runtime.clock().sleep(JoinRetryInterval);
+        co_await runtime.clock().sleep(startRetryDelay(++attempts));
     }
     becomeReady();
 }
--- a/coordination/jitter.h
+++ b/coordination/jitter.h
@@ -14,6 +14,10 @@
 /// hold.
 inline constexpr std::size_t DirectReadHosts = 1000;
 
+/// Reads per second that all agents together make when they start at once. The rest of the
+/// service's 2,000 reads/s is left to watches.
+inline constexpr std::size_t StartReads = 1600;
+
 /// @return a random duration between @p least and @p most.
 inline std::chrono::milliseconds jitter(std::chrono::milliseconds least,
                                         std::chrono::milliseconds most)
@@ -31,4 +35,25 @@
     return interval * std::max(entryHosts, DirectReadHosts) / DirectReadHosts;
 }
 
+/// @param entryHosts number of entry hosts in the host list, as far as it is known.
+/// @param reads reads that one agent makes at its start.
+/// @return time until an agent that starts reads the service, such that the agents of all hosts
+///         together make at most StartReads a second.
+inline std::chrono::milliseconds startReadDelay(std::size_t entryHosts, std::size_t reads)
+{
+    const auto window = std::chrono::milliseconds(entryHosts * reads * 1000 / StartReads);
+    return jitter(std::chrono::milliseconds(0), window);
+}
+
+/// @param attempt number of failed attempts, from 1.
+/// @return time until the next attempt to read the service at the start. The window doubles up to
+///         8 s, so that the agents of a fleet that fail together do not return together.
+inline std::chrono::milliseconds startRetryDelay(int attempt)
+{
+    constexpr std::chrono::milliseconds Least{250};
+    constexpr std::chrono::milliseconds FirstWindow{500};
+    constexpr int MostDoublings = 4;
+    return jitter(Least, FirstWindow * (1 << std::min(attempt - 1, MostDoublings)));
+}
+
 } // namespace persimmon::coordination
--- a/tests/coordination/test_agent.cpp
+++ b/tests/coordination/test_agent.cpp
@@ -192,6 +192,20 @@
 
 } // namespace
 
+// Guards against a fleet that reads the service beyond its 2,000 reads/s when it starts at once.
+TEST_CASE("the first reads of 2,400 agents that start together stay within the service's limit")
+{
+    constexpr std::size_t Agents = 2400;
+    constexpr std::size_t ReadsOfAgent = 2;
+    std::map<std::int64_t, std::size_t> readsInSecond;
+    for (std::size_t i = 0; i < Agents; ++i)
+        readsInSecond[startReadDelay(Agents, ReadsOfAgent) / 1000ms] += ReadsOfAgent;
+    for (const auto &[second, reads] : readsInSecond) {
+        MESSAGE("second " << second << ": " << reads << " reads");
+        CHECK(reads <= 2000);
+    }
+}
+
 // Guards against a relay that depends on each agent's own access to the service.
 TEST_CASE("a change reaches all agents when only one of them reaches the service")
 {
