Measure how far the row of a new epoch spreads and what it costs

The new part counts the rows that all agents send for one new epoch and the agents that lack it afterwards.

--- a/main/persimmon_measure.cpp
+++ b/main/persimmon_measure.cpp
@@ -9,8 +9,9 @@
 {
     transport::Settings settings("persimmon-measure",
                                  "Measures memory, processor time and bytes by size, in process");
-    settings.addChoice("part", "what to measure", "all",
-                       {"all", "views", "planning", "stores", "exchange", "codecs", "propagation"});
+    settings.addChoice(
+            "part", "what to measure", "all",
+            {"all", "views", "planning", "stores", "exchange", "codecs", "propagation", "epochs"});
     settings.addInteger("seed", "seed of the random choices", 1, 0, 1'000'000'000);
     if (const auto status = settings.parse(argc, argv))
         return *status;
@@ -26,5 +27,6 @@
     run("exchange", measure::measureExchange);
     run("codecs", measure::measureCodecs);
     run("propagation", [seed] { return measure::measurePropagation(seed); });
+    run("epochs", [seed] { return measure::measureEpochRows(seed); });
     return 0;
 }
--- a/measure/measurements.h
+++ b/measure/measurements.h
@@ -26,4 +26,8 @@
 /// @param seed seed of the choice of peers; each size uses the same one.
 std::vector<Series> measurePropagation(std::uint64_t seed);
 
+/// Agents that lack the row of a new epoch of one host after its rumor has ended, and rows that all
+/// agents together sent for it; exchange logic only, as above.
+std::vector<Series> measureEpochRows(std::uint64_t seed);
+
 } // namespace persimmon::measure
