--- a/measure/propagation.cpp
+++ b/measure/propagation.cpp
@@ -10,7 +10,7 @@
 constexpr std::size_t Watchers = 2 * FailureDomains;
 constexpr std::size_t PeersInRound = 2;
 constexpr int RoundLimit = 100;
-constexpr auto RoundTime = std::chrono::seconds(1);
+constexpr std::chrono::nanoseconds RoundTime = std::chrono::seconds(1);
 constexpr std::uint64_t NewRevision = 2;
 
 /// One random order of exchanges over all stores.
