--- a/measure/propagation.cpp
+++ b/measure/propagation.cpp
@@ -72,6 +72,8 @@
     const auto before = Present - std::chrono::minutes(1);
     for (std::size_t i = 0; i < agents; ++i) {
         stores.emplace_back("agent-" + std::to_string(i));
+        // A store without a host list is one that starts, and gets all rows with each reply.
+        stores.back().applyHosts({1, std::vector<protocol::HostRecord>{}}, before);
         stores.back().addIncarnation({EpochHost, 1, 1, 1}, before);
         for (std::size_t row = 1; row <= OtherRows; ++row)
             stores.back().addIncarnation({"entry-host-" + std::to_string(row), 1, 1, 1}, before);
