Pass the row of a new epoch on for 2 s instead of 10 s

Every entry host has a new epoch every 5 minutes: 8 rows/s at the target, each part of every message for 10 s. After the host list this missed the limit of 4 KB/s for each daemon by most.

A row whose incarnation is known and whose epoch alone is new is passed on for 2 s by other hosts; a host passes its own row and a new incarnation on for 10 s as before. An epoch stays acceptable for two more, so that a late row does no harm.

Ruled out: counting epochs on from the age of a row, since a clock that stood still at the home would make ids of a future epoch.

--- a/state/gossip_table.h
+++ b/state/gossip_table.h
@@ -26,7 +26,11 @@
         return found == rows_.end() ? nullptr : &found->second.value;
     }
 
-    void put(const Key &key, Value value, TimePoint now) { rows_[key] = {std::move(value), now}; }
+    /// @param rumorTime time during which each message carries the row.
+    void put(const Key &key, Value value, TimePoint now, TimePoint::duration rumorTime = RumorTime)
+    {
+        rows_[key] = {std::move(value), now + rumorTime};
+    }
 
     /// Removes the rows for which @p predicate(value) holds.
     /// @return whether there were any.
@@ -43,7 +47,7 @@
     {
         std::vector<Value> selected;
         for (const auto &[key, row] : rows_) {
-            if (all || now - row.changedAt < RumorTime)
+            if (all || now < row.rumorUntil)
                 selected.push_back(row.value);
         }
         if (all)
@@ -53,7 +57,7 @@
             if (next == rows_.end())
                 next = rows_.begin();
             cursor_ = next->first;
-            if (now - next->second.changedAt >= RumorTime)
+            if (now >= next->second.rumorUntil)
                 selected.push_back(next->second.value);
         }
         return selected;
@@ -71,7 +75,7 @@
     struct Row
     {
         Value value;
-        TimePoint changedAt;
+        TimePoint rumorUntil;
     };
 
     std::map<Key, Row> rows_;
--- a/state/view_store.cpp
+++ b/state/view_store.cpp
@@ -173,9 +173,13 @@
 
 ViewUpdate ViewStore::addIncarnation(const protocol::EntryIncarnation &row, TimePoint now)
 {
-    if (row.version <= incarnationVersion(row.host))
+    const auto *known = incarnations_.find(row.host);
+    if (known != nullptr && row.version <= known->version)
         return {};
-    incarnations_.put(row.host, row, now);
+    const bool isEpoch = known != nullptr && known->incarnation == row.incarnation;
+    const bool isOwn = row.host == host_;
+    incarnations_.put(row.host, row, now,
+                      isEpoch && !isOwn ? EpochRumorTime : decltype(incarnations_)::RumorTime);
     return finish({true, {}});
 }
 
--- a/state/view_store.h
+++ b/state/view_store.h
@@ -32,6 +32,11 @@
     /// the transfer times would postpone the expiry with each exchange.
     static constexpr std::chrono::milliseconds ExpiryTolerance{1000};
 
+    /// Time for which the row of a new epoch is part of each message, but for those of its own
+    /// host. Every entry host has a new epoch every 5 minutes, and an old one is still accepted for
+    /// two more, so that a host that misses the row does no harm until the rotation brings it.
+    static constexpr std::chrono::seconds EpochRumorTime{2};
+
     /// A reply states at most this age; it also stands for a view that was never confirmed.
     static constexpr std::chrono::hours UnconfirmedAge{1};
 
