--- a/entry/entry_server.cpp
+++ b/entry/entry_server.cpp
@@ -25,6 +25,14 @@
 /// it covers the propagation of the change to the entries that give these answers.
 constexpr std::chrono::milliseconds OutOfServiceMargin{2000};
 
+/// How long an announced shutdown is remembered if the host never comes back; a restarted entry has
+/// a new incarnation, which ends it earlier.
+constexpr std::chrono::minutes LeavingDuration{5};
+
+/// Time in which callers with an outdated address get a refusal with a better one, before the
+/// listener closes.
+constexpr std::chrono::milliseconds RefusalTime{500};
+
 HttpResponse respond(const QueryAnswer &answer)
 {
     return {protocol::httpStatus(answer), protocol::encodeQueryAnswer(answer)};
@@ -43,15 +51,6 @@
     return options;
 }
 
-std::string_view errorName(CallerError error)
-{
-    for (const auto &row : protocol::CallerErrorTable) {
-        if (row.error == error)
-            return row.name;
-    }
-    return "none";
-}
-
 } // namespace
 
 EntryServer::EntryServer(transport::Runtime &runtime, transport::Metrics &metrics, EntryHooks hooks,
@@ -61,7 +60,8 @@
       hooks_(std::move(hooks)),
       execute_(std::move(execute)),
       options_(std::move(options)),
-      locator_(options_.identity, options_.validFor, options_.entryPort),
+      prober_(runtime, hooks_, options_.identity.host, options_.entryPort),
+      locator_(options_.identity, options_.validFor, options_.entryPort, prober_),
       nonRepeatable_(runtime, options_.identity, hooks_, execute_, options_.entryPort),
       server_(
               runtime,
@@ -79,10 +79,12 @@
 asio::awaitable<void> EntryServer::shutdown()
 {
     transport::logInfo("entry", "The graceful shutdown begins.");
-    hooks_.reportLeaving(options_.validFor + OutOfServiceMargin);
-    co_await runtime_.clock().sleep(options_.validFor);
+    hooks_.reportLeaving(LeavingDuration);
+    // Other entries still name this one until they learn that it leaves.
+    co_await runtime_.clock().sleep(options_.validFor + OutOfServiceMargin);
     stopping_ = true;
     refusing_ = true;
+    co_await runtime_.clock().sleep(RefusalTime);
     co_await server_.drain();
     transport::logInfo("entry", "No request is running.");
 }
@@ -121,6 +123,8 @@
     const auto path = request.target.substr(0, request.target.find('?'));
     if (request.method == "GET" && path == "/v1/locate")
         co_return handleLocate(request.target);
+    if (request.method == "GET" && path == "/v1/health")
+        co_return HttpResponse(200, "{}");
     if (request.method != "POST" || path != "/v1/query")
         co_return respond(protocol::makeRefusal(CallerError::NotFound, "no such resource"));
     const auto start = runtime_.clock().now();
@@ -156,9 +160,15 @@
     if (!isOk(decoded))
         co_return protocol::makeRefusal(CallerError::MalformedBody, errorOf(decoded).message);
     auto request = takeValue(decoded);
-    const auto id = request.requestId.value_or("");
+    const auto id = request.requestId;
+    RefusalRow row;
+    row.caller = request.caller;
+    row.profile = request.profile;
     auto answer = co_await runQuery(std::move(request));
-    answer.requestId = id;
+    if (id)
+        answer.requestId = *id;
+    if (answer.outcome != protocol::Outcome::Done)
+        logRefusal(std::move(row), answer);
     co_return answer;
 }
 
@@ -220,10 +230,22 @@
     return answer;
 }
 
+void EntryServer::logRefusal(RefusalRow row, const QueryAnswer &answer)
+{
+    const auto view = hooks_.view();
+    row.time = std::chrono::system_clock::now();
+    row.requestId = answer.requestId;
+    row.outcome = answer.outcome;
+    row.error = answer.error;
+    row.message = answer.message;
+    row.configRevision = view ? view->configRevision : 0;
+    refusals_.add(std::move(row));
+}
+
 void EntryServer::record(const QueryAnswer &answer)
 {
     const auto outcome = std::string(enumName(protocol::OutcomeNames, answer.outcome));
-    const auto error = std::string(errorName(answer.error));
+    const auto error = std::string(protocol::callerErrorName(answer.error));
     metrics_.counter("persimmon_entry_queries_total", "Queries by outcome and error.",
                      "outcome=\"" + outcome + "\",error=\"" + error + "\"")
             .add();
--- a/main/persimmon_entry.cpp
+++ b/main/persimmon_entry.cpp
@@ -8,6 +8,7 @@
 
 constexpr int StartFailure = 1;
 constexpr std::chrono::milliseconds DefaultValidity{3000};
+constexpr std::chrono::milliseconds ReadyPollInterval{50};
 
 void declareSettings(transport::Settings &settings)
 {
@@ -129,6 +130,11 @@
         status["failure_domain"] = settings_.text("failure-domain");
         status["policy"] = settings_.text("policy");
     };
+    options.addMethods = [this](transport::RpcService &rpc) {
+        rpc.add("explain_refusal", [this](const Json::Value &parameters) {
+            return server_.refusals().explain(parameters.get("request_id", "").asString());
+        });
+    };
     return options;
 }
 
@@ -148,6 +154,9 @@
 
 boost::asio::awaitable<void> EntryProgram::announce()
 {
+    // Other entries name this one as soon as they know its incarnation, so it must have a view.
+    while (!views_.isReady())
+        co_await runtime_.clock().sleep(ReadyPollInterval);
     const state::EpochClock epochs(identity_.started);
     while (true) {
         views_.reportIncarnation(identity_.incarnation, epochs.epochAt(runtime_.clock().now()));
@@ -173,6 +182,7 @@
     views_.start();
     runtime_.spawn(announce());
     runtime_.spawn(server_.watch());
+    runtime_.spawn(server_.watchEntries());
     runtime_.onTermination([this] { runtime_.spawn(shutDown()); });
     runtime_.run();
     transport::logInfo("entry", "The entry has ended.");
--- a/protocol/caller_codec.cpp
+++ b/protocol/caller_codec.cpp
@@ -1,6 +1,7 @@
 #include "protocol/caller_codec.h"
 
 #include "protocol/json_reader.h"
+#include "protocol/json_writer.h"
 
 #include <cmath>
 
@@ -12,15 +13,6 @@
 
 constexpr double MicrosecondsPerMillisecond = 1000;
 
-std::string_view errorName(CallerError error)
-{
-    for (const auto &row : CallerErrorTable) {
-        if (row.error == error)
-            return row.name;
-    }
-    return "none";
-}
-
 const CallerErrorInfo *findError(std::string_view name)
 {
     for (const auto &row : CallerErrorTable) {
@@ -149,14 +141,14 @@
         body["snapshot_token"] = *request.snapshotToken;
     if (request.requestId)
         body["request_id"] = *request.requestId;
-    return withRawMember(json::serialize(body), "query", request.query, "{}");
+    return withRawMember(serializeJson(body), "query", request.query, "{}");
 }
 
 std::string encodeQueryAnswer(const QueryAnswer &answer)
 {
     json::object body{{"outcome", enumName(OutcomeNames, answer.outcome)}};
     if (answer.outcome != Outcome::Done) {
-        body["error"] = errorName(answer.error);
+        body["error"] = callerErrorName(answer.error);
         body["message"] = answer.message;
     }
     if (!answer.requestId.empty())
@@ -173,7 +165,7 @@
         body["home"] = locateObject(*answer.home);
     if (answer.retryAfter)
         body["retry_after_ms"] = millisecondCount(*answer.retryAfter);
-    auto text = json::serialize(body);
+    auto text = serializeJson(body);
     if (answer.outcome != Outcome::Done)
         return text;
     return withRawMember(std::move(text), "items", answer.items, "[]");
@@ -186,7 +178,7 @@
 
 std::string encodeLocateAnswer(const LocateAnswer &answer)
 {
-    return json::serialize(locateObject(answer));
+    return serializeJson(locateObject(answer));
 }
 
 ProtocolResult<LocateAnswer> decodeLocateAnswer(std::string_view body)
--- a/protocol/view_codec.cpp
+++ b/protocol/view_codec.cpp
@@ -1,4 +1,5 @@
 #include "protocol/view_codec.h"
+#include "protocol/json_writer.h"
 
 #include "protocol/host_record_json.h"
 
@@ -172,7 +173,7 @@
 {
     auto body = commonObject(request);
     body["want_all"] = request.wantAll;
-    return json::serialize(body);
+    return serializeJson(body);
 }
 
 ProtocolResult<ViewRequest> decodeViewRequest(std::string_view text)
@@ -191,7 +192,7 @@
     body["hosts_digest"] = reply.hostsDigest;
     body["confirmed_age_ms"] = millisecondCount(reply.confirmedAge);
     body["ready"] = reply.ready;
-    return json::serialize(body);
+    return serializeJson(body);
 }
 
 ProtocolResult<ViewReply> decodeViewReply(std::string_view text)
