Refuse work by its own deadline and priority, and drop what comes too late

Under overload the length of a queue was taken from the deadline of the newest work, so that each access check (150 ms) refused a listing (800 ms) or archive search (10 s) that could wait; and work was granted a slot until its very deadline, so that its execution was wasted.

Work is now refused when more work of the same or a higher priority is ahead of it than can be served before its own deadline, execution included; the newest work of the lowest priority goes first, as before. Waiting work whose time left is below the median execution time is refused as overloaded in place of a grant. Work that has lost less than half of its time always runs, so that a record of slow answers cannot keep all work out.

The queue test keeps its checks with a function in place of the number, and gains one: a short deadline refuses nothing of a lower priority. A new test covers the straggler choice.

--- a/misc/measure_policy.sh
+++ b/misc/measure_policy.sh
@@ -24,6 +24,7 @@
 WarmUpS=4
 # The rate is low, so that the 99th percentile needs a longer run.
 StragglerSecondsFactor=3
+SettleS=2
 DomainLeavesAfterS=3
 DomainReturnsAfterS=9
 
@@ -119,6 +120,14 @@
 
 standin_state() { curl -fs -m 5 "http://$network.0.1:7001/state"; }
 
+# sample_middle SECONDS RESULT: counters at two times under load, without its start and end.
+sample_middle() {
+  sleep $SettleS
+  standin_state >"$2.first"
+  sleep $(($1 - SettleS - 1))
+  standin_state >"$2.last"
+}
+
 # measure SCENARIO POLICY: one run; prints its rows of the table.
 measure() {
   local scenario=$1 policy=$2 result=$work/$1-$2 load_s=$seconds
@@ -134,9 +143,10 @@
       domain_leaves_and_returns &
       ;;
   esac
+  sample_middle "$load_s" "$result" &
   send_load "$load_s" "$result.load" "$seed"
   standin_state >"$result.after"
-  echo "$load_s" >"$result.seconds"
+  echo $((load_s - SettleS - 1)) >"$result.seconds"
   stop
   report_rows "$scenario" "$policy" "$result"
 }
--- a/misc/policy_report.sh
+++ b/misc/policy_report.sh
@@ -60,12 +60,17 @@
 # refused RESULT PROFILE: requests without a done answer.
 refused() { jq -r ".profiles[\"$2\"] | .sent - .done" "$1.load"; }
 
-# useful_percent RESULT: shards in done answers, as a part of what the servers can execute.
+# useful_percent RESULT: part of the capacity spent on shards of done answers. This is the used part
+# of the capacity in the middle of the run, times the executions of the whole run that became part of
+# a done answer. An execution that was cancelled counts as wasted in full.
 useful_percent() {
-  jq -r --argjson capacity "$(capacity)" --argjson shards $ShardsPerQuery \
-    --argjson seconds "$(cat "$1.seconds")" \
-    '[.profiles[] | .done * .mean_coverage * $shards] | add / ($capacity * $shards * $seconds) * 100
-     | . * 10 | round / 10' "$1.load"
+  local used executed
+  used=$(($(jq .executions "$1.last") - $(jq .executions "$1.first")))
+  executed=$(executions "$1")
+  jq -r --argjson used "$used" --argjson executed "$executed" --argjson capacity "$(capacity)" \
+    --argjson shards $ShardsPerQuery --argjson seconds "$(cat "$1.seconds")" \
+    '([.profiles[] | .done * .mean_coverage * $shards] | add) as $useful
+     | $used / ($capacity * $shards * $seconds) * $useful / $executed * 1000 | round / 10' "$1.load"
 }
 
 # report_targets SCENARIO: goals of the design page that this scenario shows.
--- a/state/execution_queue.cpp
+++ b/state/execution_queue.cpp
@@ -10,16 +10,22 @@
 }
 
 std::optional<std::uint64_t> ExecutionQueue::push(std::uint64_t id, protocol::Priority priority,
-                                                  std::size_t capacity)
+                                                  const CapacityOf &capacityOf)
 {
     lineOf(priority).push_back(id);
-    if (size() <= std::max<std::size_t>(capacity, 1))
-        return std::nullopt;
-    const auto lowest = std::find_if(lines_.rbegin(), lines_.rend(),
-                                     [](const auto &line) { return !line.empty(); });
-    const auto refused = lowest->back();
-    lowest->pop_back();
-    return refused;
+    auto place = size();
+    for (auto step = lines_.size(); step > static_cast<std::size_t>(priority); --step) {
+        auto &line = lines_[step - 1];
+        if (line.empty())
+            continue;
+        const auto last = line.back();
+        if (place > std::max<std::size_t>(capacityOf(last), 1)) {
+            line.pop_back();
+            return last;
+        }
+        place -= line.size();
+    }
+    return std::nullopt;
 }
 
 void ExecutionQueue::pushFront(std::uint64_t id, protocol::Priority priority)
--- a/state/execution_queue.h
+++ b/state/execution_queue.h
@@ -17,12 +17,16 @@
     /// Every grant of this number goes to the lowest waiting priority, so that bulk is not starved.
     static constexpr std::uint64_t LowestPriorityInterval = 20;
 
-    /// Adds a sub-request.
-    /// @param capacity how many can be served within the deadline; at least one is kept.
-    /// @return the sub-request that is refused for it: the newest of the lowest priority, which may
-    ///         be @p id itself; nothing while the queue is not full.
+    /// How many sub-requests can be served before the deadline of a given one, itself included.
+    using CapacityOf = std::function<std::size_t(std::uint64_t)>;
+
+    /// Adds a sub-request. Only work of the same or a higher priority is ahead of another, so that
+    /// the short deadline of a high priority refuses nothing of a low one that can wait.
+    /// @return the sub-request that is refused for it: the newest of the lowest priority that
+    /// cannot
+    ///         be served in time, which may be @p id itself; nothing while all can.
     std::optional<std::uint64_t> push(std::uint64_t id, protocol::Priority priority,
-                                      std::size_t capacity);
+                                      const CapacityOf &capacityOf);
 
     /// Puts a sub-request that was granted before in front of its priority again.
     void pushFront(std::uint64_t id, protocol::Priority priority);
--- a/state/service_scheduler.cpp
+++ b/state/service_scheduler.cpp
@@ -39,12 +39,15 @@
     SchedulerActions actions;
     auto &sub = subs_[work.id];
     sub.work = work;
+    sub.arrivedAt = now;
     setDue(sub, work.deadline);
     if (now >= work.deadline)
         reply(actions, sub, protocol::SubError::DeadlineOver);
     refuseUnservable(actions, now, work.id);
     if (!sub.replied) {
-        const auto refused = queue_.push(work.id, work.priority, queueCapacity(work, now));
+        const auto refused = queue_.push(work.id, work.priority, [this, now](std::uint64_t id) {
+            return queueCapacity(subs_.at(id).work, now);
+        });
         if (refused)
             reply(actions, subs_.at(*refused), protocol::SubError::Overloaded);
         if (refused && *refused != work.id)
@@ -254,8 +257,13 @@
 
 void ServiceScheduler::grant(SchedulerActions &actions, TimePoint now)
 {
-    const auto isReady = [this, now](std::uint64_t id) {
+    std::vector<std::uint64_t> tooLate;
+    const auto isReady = [this, now, &tooLate](std::uint64_t id) {
         const auto &work = subs_.at(id).work;
+        if (isTooLate(subs_.at(id), now)) {
+            tooLate.push_back(id);
+            return false;
+        }
         if (work.canary && !gate_.isOpenFor(work.fingerprint, id))
             return false;
         return replicas_.choose(work.snapshot, {}, now).availability
@@ -263,6 +271,10 @@
     };
     while (queue_.size() > 0 && replicas_.hasCapacity()) {
         const auto id = queue_.pop(isReady);
+        for (const auto late : std::exchange(tooLate, {})) {
+            reply(actions, subs_.at(late), protocol::SubError::Overloaded);
+            removeIfDone(late);
+        }
         if (!id)
             return;
         auto &sub = subs_.at(*id);
@@ -381,11 +393,20 @@
 std::size_t ServiceScheduler::queueCapacity(const SubWork &work, TimePoint now) const
 {
     const auto median = latency_.median().value_or(AssumedExecutionTime);
-    const auto rounds = std::chrono::duration<double>(work.deadline - now) / median;
+    const auto rounds = std::chrono::duration<double>(work.deadline - now) / median - 1;
     const auto capacity = static_cast<double>(replicas_.totalLimit()) * std::max(rounds, 0.0);
     return static_cast<std::size_t>(std::min(capacity, LargestQueue));
 }
 
+bool ServiceScheduler::isTooLate(const Sub &sub, TimePoint now) const
+{
+    // An answer after the deadline is of no use to anyone. Work that has lost little of its time to
+    // waiting runs in any case, so that a record of slow answers cannot keep all work out forever.
+    const Duration median = latency_.median().value_or(AssumedExecutionTime);
+    const Duration half = (sub.work.deadline - sub.arrivedAt) / 2;
+    return sub.work.deadline - now < std::min(median, half);
+}
+
 Duration ServiceScheduler::hedgeDelay() const
 {
     const Duration observed = latency_.percentile95().value_or(AssumedHedgeDelay);
--- a/state/service_scheduler.h
+++ b/state/service_scheduler.h
@@ -60,6 +60,7 @@
     struct Sub
     {
         SubWork work;
+        TimePoint arrivedAt;
         bool replied = false;
         bool waiting = true;
         /// Whether an ended attempt may have executed.
@@ -107,6 +108,7 @@
     void setDue(Sub &sub, TimePoint due);
     void removeIfDone(std::uint64_t id);
     std::size_t queueCapacity(const SubWork &work, TimePoint now) const;
+    bool isTooLate(const Sub &sub, TimePoint now) const;
     Duration hedgeDelay() const;
 
     ReplicaSet replicas_;
--- a/tests/state/test_service_scheduler.cpp
+++ b/tests/state/test_service_scheduler.cpp
@@ -305,8 +305,10 @@
 {
     // Guards against bulk work that never runs while critical work keeps arriving.
     ExecutionQueue queue;
+    const auto room = [](std::size_t capacity) { return [=](std::uint64_t) { return capacity; }; };
     for (std::uint64_t id = 0; id < 40; ++id)
-        queue.push(id, id < 30 ? protocol::Priority::Critical : protocol::Priority::Bulk, 100);
+        queue.push(id, id < 30 ? protocol::Priority::Critical : protocol::Priority::Bulk,
+                   room(100));
     std::uint64_t bulk = 0;
     for (int grant = 1; grant <= 20; ++grant) {
         const auto id = queue.pop([](std::uint64_t) { return true; });
@@ -315,8 +317,42 @@
         CHECK(bulk == (grant == 20 ? 1U : 0U));
     }
     // Guards against a full queue that refuses critical work while bulk work waits.
-    CHECK(queue.push(100, protocol::Priority::Critical, 20) == 39);
-    CHECK(queue.push(101, protocol::Priority::Bulk, 20) == 101);
+    CHECK(queue.push(100, protocol::Priority::Critical, room(20)) == 39);
+    CHECK(queue.push(101, protocol::Priority::Bulk, room(20)) == 101);
+    // Guards against urgent work whose short deadline refuses bulk work that can wait.
+    const auto urgent = [](std::uint64_t id) { return id == 102 ? 5U : 100U; };
+    CHECK(queue.push(102, protocol::Priority::Critical, urgent) == 102);
+}
+
+TEST_CASE("a straggler loses its work after three attempts and gets it back when it has recovered")
+{
+    // Guards against a choice that follows a new straggler only after hundreds of slow answers, or
+    // never finds out that it has recovered.
+    using std::chrono::milliseconds;
+    ReplicaSet replicas;
+    const protocol::HostRecord a{"a", protocol::HostKind::Upstream, "127.0.0.1:1", "d", "s"};
+    const protocol::HostRecord b{"b", protocol::HostKind::Upstream, "127.0.0.1:2", "d", "s"};
+    replicas.configure({{a, b}, 2, 2, true, true});
+    const auto execute = [&](const std::string &name, milliseconds latency, AttemptEnd end) {
+        AttemptResult result;
+        result.end = end;
+        replicas.onStarted(name);
+        replicas.onEnded(name, result, 1, latency, TimePoint{});
+    };
+    const auto choose = [&] { return replicas.choose(1, {}, TimePoint{}, true).upstream.name; };
+    for (int i = 0; i < 200; ++i)
+        execute(i % 2 == 0 ? "a" : "b", milliseconds(i % 2 == 0 ? 5 : 6), AttemptEnd::Answered);
+    CHECK(choose() == "a");
+    for (int i = 0; i < 3; ++i)
+        execute("a", milliseconds(13), AttemptEnd::Cancelled);
+    CHECK(choose() == "b");
+    replicas.onStarted("b");
+    CHECK(choose() == "b");
+    for (std::uint32_t i = 0; i < ReplicaSet::ProbeInterval; ++i)
+        execute("b", milliseconds(6), AttemptEnd::Answered);
+    CHECK(choose() == "a");
+    execute("a", milliseconds(4), AttemptEnd::Answered);
+    CHECK(choose() == "a");
 }
 
 TEST_CASE("a ramp restarts when the upstream restarts or becomes slow")
