--- a/dispatch/dispatch_hooks.h
+++ b/dispatch/dispatch_hooks.h
@@ -33,6 +33,8 @@
     std::uint64_t incarnation = 0;
     bool hedging = true;
     bool ramp = true;
+    /// Quantile of a service's latencies after which a hedge is sent.
+    double hedgeQuantile = state::DefaultHedgeQuantile;
 };
 
 } // namespace persimmon::dispatch
--- a/dispatch/service_executor.cpp
+++ b/dispatch/service_executor.cpp
@@ -40,9 +40,12 @@
     const auto settings = group == view->groups.end() ? protocol::GroupSettings{} : group->second;
     const auto ranking = state::rankDispatchers(*view, service_);
     const bool first = !ranking.empty() && ranking.front() == context_.options.host;
-    const state::ServiceSettings service{
-            view->availableUpstreams(service_), state::shareOfSlots(settings.slots, first),
-            settings.coldLimit, context_.options.ramp, context_.options.hedging};
+    const state::ServiceSettings service{view->availableUpstreams(service_),
+                                         state::shareOfSlots(settings.slots, first),
+                                         settings.coldLimit,
+                                         context_.options.ramp,
+                                         context_.options.hedging,
+                                         context_.options.hedgeQuantile};
     apply([&](state::ServiceScheduler &scheduler, transport::TimePoint now) {
         first_ = first;
         connectionLimit_ =
--- a/main/persimmon_dispatch.cpp
+++ b/main/persimmon_dispatch.cpp
@@ -15,6 +15,8 @@
     coordination::addDaemonSettings(settings, protocol::DispatchPort);
     coordination::addViewSettings(settings);
     settings.addChoice("hedging", "whether hedges are sent", "on", {"on", "off"});
+    settings.addNumber("hedge-quantile", "quantile of a service's latencies that starts a hedge",
+                       state::DefaultHedgeQuantile, 0.5, 0.999);
     settings.addChoice("ramp", "whether cold upstreams are ramped", "on", {"on", "off"});
 }
 
@@ -64,7 +66,8 @@
     coordination::ViewClient views(runtime, coordination::viewClientOptions(settings));
     const dispatch::DispatchOptions options{settings.text("host"), coordination::makeIncarnation(),
                                             settings.text("hedging") == "on",
-                                            settings.text("ramp") == "on"};
+                                            settings.text("ramp") == "on",
+                                            settings.number("hedge-quantile")};
     dispatch::DispatchServer server(runtime, metrics, options, makeHooks(views));
     views.onChange([&server](const state::ClusterView &) { server.onViewChanged(); });
     coordination::AdminServer admin(runtime, metrics, makeAdminOptions(settings, views, server));
--- a/misc/measure_policy.sh
+++ b/misc/measure_policy.sh
@@ -120,6 +120,14 @@
 
 standin_state() { curl -fs -m 5 "http://$network.0.1:7001/state"; }
 
+# begin_run: starts the deployment, and shows its logs when that fails.
+begin_run() {
+  if ! start >"$work/log"; then
+    tail -n 3 "$work/log" "$run"/*.log >&2
+    exit 1
+  fi
+}
+
 # sample_middle SECONDS RESULT: counters at two times under load, without its start and end.
 sample_middle() {
   sleep $SettleS
@@ -132,7 +140,7 @@
 measure() {
   local scenario=$1 policy=$2 result=$work/$1-$2 load_s=$seconds
   configure "$scenario"
-  STANDIN_FLAGS="--service-time $service_time --seed $seed" ENTRY_FLAGS="--policy $policy" start >"$work/log"
+  STANDIN_FLAGS="--service-time $service_time --seed $seed" ENTRY_FLAGS="--policy $policy" begin_run
   send_load $WarmUpS "$work/warm.json" $((seed + 1000))
   inject "$scenario"
   standin_state >"$result.before"
@@ -155,7 +163,7 @@
 measure_idle() {
   local name pid
   configure idle
-  start >"$work/log"
+  begin_run
   sleep $WarmUpS
   for name in agent-h1 dispatch-h1 entry-h1; do
     pid=$(awk -v name=$name '$2 == name { print $1 }' "$run/pids")
@@ -169,7 +177,7 @@
 measure_added_time() {
   configure steady
   set_load matinee-listing=1 20 0.01
-  STANDIN_FLAGS="--service-time 0.01 --seed $seed" start >"$work/log"
+  STANDIN_FLAGS="--service-time 0.01 --seed $seed" begin_run
   send_load $WarmUpS "$work/warm.json" $((seed + 1000))
   send_load "$seconds" "$work/added.load" "$seed"
   stop
@@ -185,5 +193,5 @@
     continue
   fi
   for policy in "${policies[@]}"; do measure "$scenario" "$policy"; done
-  if [ "${#policies[@]}" = 2 ]; then report_targets "$scenario"; fi
+  report_targets "$scenario"
 done
--- a/misc/policy_report.sh
+++ b/misc/policy_report.sh
@@ -76,15 +76,18 @@
 # report_targets SCENARIO: goals of the design page that this scenario shows.
 report_targets() {
   local naive=${work:?}/$1-naive managed=$work/$1-managed
-  if [ "$1" = straggler ]; then
+  if [ ! -f "$managed.load" ]; then return 0; fi
+  if [ "$1" = straggler ] && [ -f "$naive.load" ]; then
     target "matinee-listing p99, naive over managed" \
       "$(calculate "$(profile_value "$naive" matinee-listing .latency_ms.p99) / $(profile_value "$managed" matinee-listing .latency_ms.p99)")" \
       ">=" $GoalLatencyRatio
+  fi
+  if [ "$1" = straggler ]; then
     target "extra upstream executions in percent" "$(extra_percent "$managed")" "<=" $GoalExtraLoadPercent
   fi
   if [ "$1" = overload ]; then
     target "useful shard answers, percent of capacity" "$(useful_percent "$managed")" ">=" $GoalUsefulPercent
-    echo "  naive: useful shard answers, percent of capacity: $(useful_percent "$naive")"
+    [ ! -f "$naive.load" ] || echo "  naive: useful shard answers, percent of capacity: $(useful_percent "$naive")"
     target "access-check p99 in ms" "$(profile_value "$managed" access-check .latency_ms.p99)" "<=" $AccessCheckDeadlineMs
     target "access-check not done" "$(refused "$managed" access-check)" "<=" 0
     return
--- a/misc/run_deployment.sh
+++ b/misc/run_deployment.sh
@@ -4,7 +4,7 @@
 #   run_deployment.sh start DEPLOYMENT RUN_FOLDER [NETWORK]   starts all and waits until ready
 #   run_deployment.sh stop RUN_FOLDER                         stops what start has started
 # NETWORK replaces the first two numbers of all addresses (default 127.0). PERSIMMON_BUILD names the
-# build folder; STANDIN_FLAGS and ENTRY_FLAGS are added to the programs' flags.
+# build folder; STANDIN_FLAGS, DISPATCH_FLAGS and ENTRY_FLAGS are added to the programs' flags.
 set -euo pipefail
 root=$(cd "$(dirname "$0")/.." && pwd)
 build=${PERSIMMON_BUILD:-$root/build}
@@ -51,8 +51,10 @@
     echo "starting agent, dispatcher and entry on $name ($address, $domain)"
     launch "agent-$name" persimmon-agent --host "$name" --address "$address" --failure-domain "$domain" \
       --service "$platform" --admin "$address:7301"
+    # shellcheck disable=SC2086
     launch "dispatch-$name" persimmon-dispatch --host "$name" --address "$address" \
-      --failure-domain "$domain" --agent "$address:7300" --service "$platform" --admin "$address:7201"
+      --failure-domain "$domain" --agent "$address:7300" --service "$platform" --admin "$address:7201" \
+      ${DISPATCH_FLAGS:-}
     # shellcheck disable=SC2086
     launch "entry-$name" persimmon-entry --host "$name" --address "$address" --failure-domain "$domain" \
       --agent "$address:7300" --service "$platform" --admin "$address:7101" ${ENTRY_FLAGS:-}
--- a/state/latency_record.h
+++ b/state/latency_record.h
@@ -20,14 +20,13 @@
     /// @return the median, or nothing while too few latencies are recorded.
     std::optional<Duration> median() const { return quantile(0.5); }
 
-    /// @return the 95th percentile, or nothing while too few latencies are recorded.
-    std::optional<Duration> percentile95() const { return quantile(0.95); }
+    /// @param fraction 0 to 1.
+    /// @return the quantile, or nothing while too few latencies are recorded.
+    std::optional<Duration> quantile(double fraction) const;
 
 private:
     static constexpr std::size_t BinCount = 72;
 
-    std::optional<Duration> quantile(double fraction) const;
-
     std::array<float, BinCount> bins_{};
     double weight_ = 0;
     std::uint32_t sinceDecay_ = 0;
--- a/state/replica_set.h
+++ b/state/replica_set.h
@@ -11,6 +11,8 @@
 
 namespace persimmon::state {
 
+constexpr double DefaultHedgeQuantile = 0.95;
+
 /// What the view says about one service.
 struct ServiceSettings
 {
@@ -21,6 +23,8 @@
     std::uint32_t coldLimit = 1;
     bool ramp = true;
     bool hedging = true;
+    /// Quantile of the observed latencies after which a hedge is sent.
+    double hedgeQuantile = DefaultHedgeQuantile;
 };
 
 /// @param slots executions that one upstream runs at the same time.
--- a/state/service_scheduler.cpp
+++ b/state/service_scheduler.cpp
@@ -29,6 +29,7 @@
 {
     SchedulerActions actions;
     hedging_ = settings.hedging;
+    hedgeQuantile_ = settings.hedgeQuantile;
     replicas_.configure(settings);
     refuseUnservable(actions, now);
     return finish(std::move(actions), now);
@@ -409,7 +410,7 @@
 
 Duration ServiceScheduler::hedgeDelay() const
 {
-    const Duration observed = latency_.percentile95().value_or(AssumedHedgeDelay);
+    const Duration observed = latency_.quantile(hedgeQuantile_).value_or(AssumedHedgeDelay);
     const Duration typical = latency_.median().value_or(Duration(0));
     return std::max<Duration>({observed, LeastHedgeDelay, typical * LeastHedgeMedians});
 }
--- a/state/service_scheduler.h
+++ b/state/service_scheduler.h
@@ -117,6 +117,7 @@
     UnprovenGate gate_;
     LatencyRecord latency_;
     bool hedging_ = true;
+    double hedgeQuantile_ = DefaultHedgeQuantile;
     std::map<std::uint64_t, Sub> subs_;
     std::set<Due> dues_;
     std::optional<TimePoint> timerAt_;
