--- a/state/latency_record.h
+++ b/state/latency_record.h
@@ -20,6 +20,9 @@
     /// @return the median, or nothing while too few latencies are recorded.
     std::optional<Duration> median() const { return quantile(0.5); }
 
+    /// @return the 95th percentile, or nothing while too few latencies are recorded.
+    std::optional<Duration> percentile95() const { return quantile(0.95); }
+
     /// @param fraction 0 to 1.
     /// @return the quantile, or nothing while too few latencies are recorded.
     std::optional<Duration> quantile(double fraction) const;
