--- a/state/replica_set.h
+++ b/state/replica_set.h
@@ -2,6 +2,7 @@
 
 #include "state/recent_latency.h"
 #include "state/scheduler_actions.h"
+#include "state/service_timing.h"
 #include "state/upstream_ramp.h"
 
 #include <map>
@@ -11,8 +12,6 @@
 
 namespace persimmon::state {
 
-constexpr double DefaultHedgeQuantile = 0.95;
-
 /// What the view says about one service.
 struct ServiceSettings
 {
--- a/state/service_scheduler.cpp
+++ b/state/service_scheduler.cpp
@@ -9,19 +9,8 @@
 
 namespace {
 
-/// Execution time that is assumed before enough answers were observed.
-constexpr std::chrono::milliseconds AssumedExecutionTime{5};
-/// Delay of a hedge before enough answers were observed.
-constexpr std::chrono::milliseconds AssumedHedgeDelay{50};
-constexpr std::chrono::milliseconds LeastHedgeDelay{5};
-/// In a steady service 5% of the answers are later than the 95th percentile, and hedges of these
-/// would use up the default budget. The delay is at least this many medians, so that the tokens are
-/// left for stragglers.
-constexpr int LeastHedgeMedians = 2;
 /// An attempt without an answer after this many hedge delays is given up once it is hedged.
 constexpr int SilenceFactor = 4;
-/// Bound of the queue when the observed execution time is tiny.
-constexpr double LargestQueue = 10'000;
 
 } // namespace
 
@@ -29,7 +18,7 @@
 {
     SchedulerActions actions;
     hedging_ = settings.hedging;
-    hedgeQuantile_ = settings.hedgeQuantile;
+    timing_.setHedgeQuantile(settings.hedgeQuantile);
     replicas_.configure(settings);
     refuseUnservable(actions, now);
     return finish(std::move(actions), now);
@@ -47,7 +36,7 @@
     refuseUnservable(actions, now, work.id);
     if (!sub.replied) {
         const auto refused = queue_.push(work.id, work.priority, [this, now](std::uint64_t id) {
-            return queueCapacity(subs_.at(id).work, now);
+            return timing_.servable(replicas_.totalLimit(), subs_.at(id).work.deadline, now);
         });
         if (refused)
             reply(actions, subs_.at(*refused), protocol::SubError::Overloaded);
@@ -75,7 +64,7 @@
     const auto latency = now - ended.startedAt;
     replicas_.onEnded(ended.upstream.name, result, sub.work.snapshot, latency, now);
     if (result.end == AttemptEnd::Answered)
-        latency_.record(latency);
+        timing_.record(latency);
     if (result.end == AttemptEnd::Lost && !ended.cancelled) {
         ++sub.losses;
         actions.emplace_back(NoteLoss{sub.work.fingerprint});
@@ -190,7 +179,7 @@
         tryHedge(actions, sub, now);
     else if (sub.attempts.size() > 1)
         endSilent(actions, sub, now);
-    setDue(sub, std::min(end, now + hedgeDelay()));
+    setDue(sub, std::min(end, now + timing_.hedgeDelay()));
 }
 
 void ServiceScheduler::tryHedge(SchedulerActions &actions, Sub &sub, TimePoint now)
@@ -204,7 +193,7 @@
     if (choice.availability != ReplicaSet::Availability::Found)
         return;
     // A straggler would answer too late, and the token is worth more for work that runs on one.
-    if (replicas_.recentLatency(choice.upstream.name).value_or(Duration(0)) > hedgeDelay())
+    if (replicas_.recentLatency(choice.upstream.name).value_or(Duration(0)) > timing_.hedgeDelay())
         return;
     if (!budget_.tryTake())
         return;
@@ -215,7 +204,7 @@
 void ServiceScheduler::endSilent(SchedulerActions &actions, Sub &sub, TimePoint now)
 {
     auto &oldest = sub.attempts.front();
-    if (oldest.cancelled || now - oldest.startedAt < hedgeDelay() * SilenceFactor)
+    if (oldest.cancelled || now - oldest.startedAt < timing_.hedgeDelay() * SilenceFactor)
         return;
     oldest.cancelled = true;
     actions.emplace_back(CancelAttempt{sub.work.id, oldest.number, oldest.upstream});
@@ -261,7 +250,7 @@
     std::vector<std::uint64_t> tooLate;
     const auto isReady = [this, now, &tooLate](std::uint64_t id) {
         const auto &work = subs_.at(id).work;
-        if (isTooLate(subs_.at(id), now)) {
+        if (timing_.isTooLate(subs_.at(id).arrivedAt, work.deadline, now)) {
             tooLate.push_back(id);
             return false;
         }
@@ -285,7 +274,7 @@
         const bool mayProbe = hedging_ && sub.work.repeatable && !sub.work.canary;
         const auto choice = replicas_.choose(sub.work.snapshot, {}, now, mayProbe);
         start(actions, sub, choice.upstream, sub.nextKind, now);
-        setDue(sub, sub.work.repeatable ? std::min(sub.work.deadline, now + hedgeDelay())
+        setDue(sub, sub.work.repeatable ? std::min(sub.work.deadline, now + timing_.hedgeDelay())
                                         : sub.work.deadline + LateAnswerTime);
     }
 }
@@ -391,28 +380,4 @@
     subs_.erase(found);
 }
 
-std::size_t ServiceScheduler::queueCapacity(const SubWork &work, TimePoint now) const
-{
-    const auto median = latency_.median().value_or(AssumedExecutionTime);
-    const auto rounds = std::chrono::duration<double>(work.deadline - now) / median - 1;
-    const auto capacity = static_cast<double>(replicas_.totalLimit()) * std::max(rounds, 0.0);
-    return static_cast<std::size_t>(std::min(capacity, LargestQueue));
-}
-
-bool ServiceScheduler::isTooLate(const Sub &sub, TimePoint now) const
-{
-    // An answer after the deadline is of no use to anyone. Work that has lost little of its time to
-    // waiting runs in any case, so that a record of slow answers cannot keep all work out forever.
-    const Duration median = latency_.median().value_or(AssumedExecutionTime);
-    const Duration half = (sub.work.deadline - sub.arrivedAt) / 2;
-    return sub.work.deadline - now < std::min(median, half);
-}
-
-Duration ServiceScheduler::hedgeDelay() const
-{
-    const Duration observed = latency_.quantile(hedgeQuantile_).value_or(AssumedHedgeDelay);
-    const Duration typical = latency_.median().value_or(Duration(0));
-    return std::max<Duration>({observed, LeastHedgeDelay, typical * LeastHedgeMedians});
-}
-
 } // namespace persimmon::state
--- a/state/service_scheduler.h
+++ b/state/service_scheduler.h
@@ -4,6 +4,7 @@
 #include "state/extra_load_budget.h"
 #include "state/replica_set.h"
 #include "state/scheduler_actions.h"
+#include "state/service_timing.h"
 #include "state/unproven_gate.h"
 
 #include <functional>
@@ -107,17 +108,13 @@
     void send(SchedulerActions &actions, Sub &sub, SubReply message);
     void setDue(Sub &sub, TimePoint due);
     void removeIfDone(std::uint64_t id);
-    std::size_t queueCapacity(const SubWork &work, TimePoint now) const;
-    bool isTooLate(const Sub &sub, TimePoint now) const;
-    Duration hedgeDelay() const;
 
     ReplicaSet replicas_;
     ExecutionQueue queue_;
     ExtraLoadBudget budget_;
     UnprovenGate gate_;
-    LatencyRecord latency_;
+    ServiceTiming timing_;
     bool hedging_ = true;
-    double hedgeQuantile_ = DefaultHedgeQuantile;
     std::map<std::uint64_t, Sub> subs_;
     std::set<Due> dues_;
     std::optional<TimePoint> timerAt_;
--- a/state/state.h
+++ b/state/state.h
@@ -22,6 +22,7 @@
 #include "state/request_id.h"
 #include "state/scheduler_actions.h"
 #include "state/service_scheduler.h"
+#include "state/service_timing.h"
 #include "state/snapshot_token.h"
 #include "state/unproven_gate.h"
 #include "state/upstream_ramp.h"
