--- a/tests/system/test_faults.cpp
+++ b/tests/system/test_faults.cpp
@@ -40,6 +40,84 @@
     return counter(cluster, "crashes") - before;
 }
 
+/// Sends queries of a text that no entry has seen until it is stopped.
+class NewQueries
+{
+public:
+    explicit NewQueries(Cluster &cluster) : thread_([this, &cluster] { run(cluster); }) {}
+    ~NewQueries() { stop(); }
+
+    void stop()
+    {
+        stopped_ = true;
+        if (thread_.joinable())
+            thread_.join();
+    }
+
+    int sent() const { return sent_; }
+
+private:
+    void run(Cluster &cluster)
+    {
+        for (; !stopped_; ++sent_)
+            cluster.query(1 + sent_ % Cluster::HostCount, search("new-" + std::to_string(sent_)));
+    }
+
+    std::atomic<bool> stopped_ = false;
+    std::atomic<int> sent_ = 0;
+    std::thread thread_;
+};
+
+/// Cold overloads of a deployment whose upstreams have three slots and bear two executions when
+/// cold.
+struct ColdOverloads
+{
+    /// After all upstreams of a group have turned cold at once while they kept their connections.
+    std::int64_t unannounced = 0;
+    /// After all upstreams have restarted twice while owners changed and dispatchers were lost.
+    std::int64_t restarted = 0;
+    /// Queries that were done meanwhile.
+    int successes = 0;
+};
+
+/// @param ramp value of the dispatchers' setting "ramp".
+ColdOverloads countColdOverloads(const std::string &ramp)
+{
+    constexpr auto Group = "seat-finder";
+    ClusterOptions options;
+    options.deployment = "footlights";
+    // Slow executions keep all slots in use.
+    options.standinFlags = {"--cold", "--service-time", "40"};
+    options.dispatchFlags = {"--ramp", ramp};
+    Cluster cluster(options);
+    const json::object body{{"profile", "matinee-listing"},
+                            {"query", {{"op", "search"}, {"text", "matinee"}}}};
+    BackgroundLoad load(cluster, body, 24);
+    ColdOverloads counts;
+    std::this_thread::sleep_for(1s);
+    const auto started = counter(cluster, "cold_overloads");
+    cluster.fault({{"kind", "cold"}, {"group", Group}});
+    std::this_thread::sleep_for(1s);
+    counts.unannounced = counter(cluster, "cold_overloads") - started;
+    for (const int host : {2, 5}) {
+        std::this_thread::sleep_for(500ms);
+        cluster.fault({{"kind", "crash"}, {"group", Group}});
+        std::this_thread::sleep_for(520ms);
+        const json::array out{"h" + std::to_string(host)};
+        cluster.fault({{"kind", "config_set"}, {"key", "out/hosts"}, {"value", out}});
+        std::this_thread::sleep_for(30ms);
+        cluster.dispatchProcess(host + 1).kill();
+        std::this_thread::sleep_for(1s);
+    }
+    load.stop();
+    counts.restarted = counter(cluster, "cold_overloads") - counts.unannounced;
+    counts.successes = load.successes();
+    MESSAGE("ramp " << ramp << ": " << counts.restarted << " overloads at restarts, "
+                    << counts.unannounced << " after an unannounced cold start, "
+                    << counts.successes << " done");
+    return counts;
+}
+
 } // namespace
 
 // Guards against one query that takes down every upstream, whichever entry it is sent to.
@@ -48,7 +126,9 @@
     Cluster cluster;
     for (int host = 1; host <= Cluster::HostCount; ++host)
         cluster.query(host, search("warm-up"));
-    CHECK(sendCrashingQuery(cluster) <= 2);
+    const auto lost = sendCrashingQuery(cluster);
+    MESSAGE("upstreams lost: " << lost);
+    CHECK(lost <= 2);
     // Other queries go on.
     CHECK(eventually([&] {
         const auto answer = cluster.query(1, search("other"));
@@ -57,6 +137,54 @@
     }));
 }
 
+// Guards against a test of the canary that would pass without one.
+TEST_CASE("a crashing query loses many upstreams while the canary is off")
+{
+    ClusterOptions options;
+    options.entryFlags = {"--canary", "off"};
+    Cluster cluster(options);
+    const auto lost = sendCrashingQuery(cluster);
+    MESSAGE("upstreams lost: " << lost);
+    CHECK(lost > 10);
+}
+
+// Guards against innocent queries that are refused for minutes because they ran on an upstream that
+// another query crashed.
+TEST_CASE("queries that run on a crashed upstream at the same time are not quarantined")
+{
+    Cluster cluster;
+    // Slow answers, so that innocent queries run on every upstream at each crash.
+    cluster.fault({{"kind", "slow"}, {"group", "trial-field"}, {"delay_ms", 15}});
+    BackgroundLoad known(cluster, search("known"), 6);
+    NewQueries unknown(cluster);
+    std::this_thread::sleep_for(1s);
+    CHECK(sendCrashingQuery(cluster) <= 2);
+    // The loss of a failure domain takes one upstream of every service at once.
+    // Each comes after the upstreams of the one before have returned, since a service that answers
+    // nothing between two crashes gives no proof of innocence.
+    for (const int host : {1, 3}) {
+        std::this_thread::sleep_for(1s);
+        cluster.fault({{"kind", "crash"}, {"failure_domain", cluster.failureDomain(host)}});
+    }
+    std::this_thread::sleep_for(1s);
+    known.stop();
+    unknown.stop();
+    CHECK(known.successes() > 100);
+    for (const auto &[name, count] : known.outcomes()) {
+        MESSAGE("known query: " << name << " " << count);
+        CHECK(name != "not_run quarantined");
+    }
+    int quarantined = 0;
+    for (int i = 0; i < unknown.sent(); ++i) {
+        const auto answer = cluster.query(1, search("new-" + std::to_string(i)));
+        REQUIRE(answer.is_object());
+        const auto *error = answer.as_object().if_contains("error");
+        quarantined += error != nullptr && error->as_string() == "quarantined" ? 1 : 0;
+    }
+    MESSAGE("new queries: " << unknown.sent() << ", quarantined: " << quarantined);
+    CHECK(quarantined == 0);
+}
+
 // Guards against queries that wait for good on connections that went silent.
 TEST_CASE("silent upstream connections are replaced and coverage returns")
 {
@@ -73,6 +201,19 @@
     }));
 }
 
+// Guards against an overload of upstreams that return cold while their owners change, and against a
+// test that would pass without the ramp.
+TEST_CASE("a whole service that starts cold is overloaded only without the ramp")
+{
+    CHECK(countColdOverloads("off").restarted > 0);
+    const auto counts = countColdOverloads("on");
+    CHECK(counts.successes > 100);
+    CHECK(counts.restarted == 0);
+    // Three executions run on an upstream that turns cold, which bears two; without a sign of it
+    // the next one can overload each of the 40 upstreams once, not again.
+    CHECK(counts.unannounced <= 40);
+}
+
 // Guards against a cold upstream that gets more than it can bear, also when its owner is lost
 // during the ramp.
 TEST_CASE("upstreams that turn cold are not overloaded, also when owners change")
