--- a/tests/state/test_service_scheduler.cpp
+++ b/tests/state/test_service_scheduler.cpp
@@ -369,7 +369,7 @@
     ReplicaSet replicas;
     const protocol::HostRecord a{"a", protocol::HostKind::Upstream, "127.0.0.1:1", "d", "s"};
     const protocol::HostRecord b{"b", protocol::HostKind::Upstream, "127.0.0.1:2", "d", "s"};
-    replicas.configure({{a, b}, 2, 2, true, true});
+    replicas.configure({{a, b}, 2, 2, 2, true, true});
     const auto execute = [&](const std::string &name, milliseconds latency, AttemptEnd end) {
         AttemptResult result;
         result.end = end;
