Let the dispatcher loss test wait for all shards until the deadline

Change: the test sets enough_after_ms to the deadline. All checks stay as they were.

Ruled out: a lower bound for the share of complete answers.

--- a/tests/system/test_dispatcher_loss.cpp
+++ b/tests/system/test_dispatcher_loss.cpp
@@ -86,7 +86,21 @@
 TEST_CASE("a paused dispatcher costs neither answers nor coverage")
 {
     Cluster cluster;
-    runLoad(cluster, 2s);
+    // The profile waits for all shards until its deadline, so that coverage shows what is lost and
+    // not how busy the machine is.
+    cluster.fault({{"kind", "config_set"},
+                   {"key", "profile/live-scoresheet"},
+                   {"value",
+                    {{"group", "trial-field"},
+                     {"scope", "all"},
+                     {"min_coverage", 0.9},
+                     {"deadline_ms", 200},
+                     {"enough_after_ms", 200},
+                     {"priority", "critical"},
+                     {"repeatable", true},
+                     {"extra_load", 0.05},
+                     {"on_low_coverage", "answer"}}}});
+    runLoad(cluster, 3s);
     auto before = runLoad(cluster, 3s);
     report("all dispatchers", before);
     cluster.dispatchProcess(PausedHost).signal(SIGSTOP);
