Let entry coroutines own what they use

Cause: the handlers and watches of EntryServer used the server by reference, and neither watch ended, so a server that was destroyed before its runtime left coroutines on freed memory. The address sanitizer showed two more faults on the way: FrameConnection::start() did not keep the connection until its coroutines begin (use after free when nobody else holds it), and DispatcherLink formed a cycle of link, connection and handlers (leak).

Change: CallerService holds what request handlers and watches need; the HTTP handler and the watches share its ownership, and close() or the end of shutdown() ends both watches. EntryProber's coroutines own it as well. start() keeps the connection, and the handlers of a link's connection hold the link weakly.

Ruled out: waiting in the destructor, which blocks a thread of the runtime.

--- a/entry/dispatcher_link.cpp
+++ b/entry/dispatcher_link.cpp
@@ -118,7 +118,9 @@
 void DispatcherLink::connect()
 {
     phase_ = Phase::Connecting;
-    asio::co_spawn(strand_, connectTask(), asio::detached);
+    // The coroutine begins later; until then only the handler keeps the link.
+    asio::co_spawn(strand_, connectTask(),
+                   [self = shared_from_this()](const std::exception_ptr &) {});
 }
 
 asio::awaitable<void> DispatcherLink::connectTask()
@@ -134,19 +136,22 @@
     }
     connection_ = takeValue(result);
     const auto connection = connection_;
-    const auto current = [self, connection] { return self->connection_ == connection; };
+    // The connection keeps its handlers, so they must keep neither the connection nor the link.
+    const auto onStrand = [weak = weak_from_this(), raw = connection.get()](auto action) {
+        const auto link = weak.lock();
+        if (!link)
+            return;
+        asio::post(link->strand_, [link, raw, action = std::move(action)] {
+            if (link->connection_.get() == raw)
+                action(*link);
+        });
+    };
     connection->start(
-            [self, current](std::string payload) {
-                asio::post(self->strand_, [self, current, payload = std::move(payload)] {
-                    if (current())
-                        self->onFrame(payload);
-                });
+            [onStrand](std::string payload) {
+                onStrand([payload = std::move(payload)](auto &link) { link.onFrame(payload); });
             },
-            [self, current](const transport::TransportError &error) {
-                asio::post(self->strand_, [self, current, reason = error.message] {
-                    if (current())
-                        self->onLost(reason);
-                });
+            [onStrand](const transport::TransportError &error) {
+                onStrand([reason = error.message](auto &link) { link.onLost(reason); });
             });
     connection->send(protocol::encodeFrame(options_->makeHello()));
     co_await watchHello(connection);
--- a/entry/dispatcher_links.cpp
+++ b/entry/dispatcher_links.cpp
@@ -10,6 +10,12 @@
 
 DispatcherLinks::~DispatcherLinks()
 {
+    close();
+}
+
+void DispatcherLinks::close()
+{
+    const std::lock_guard lock(mutex_);
     for (const auto &[endpoint, link] : links_)
         link->close();
 }
--- a/entry/dispatcher_links.h
+++ b/entry/dispatcher_links.h
@@ -16,6 +16,9 @@
     DispatcherLinks(const DispatcherLinks &) = delete;
     DispatcherLinks &operator=(const DispatcherLinks &) = delete;
 
+    /// Closes the connections; sub-requests that are open on them are answered as lost.
+    void close();
+
     /// @return an id that no batch of this entry incarnation had before.
     std::uint64_t nextBatchId() { return ++lastBatchId_; }
 
--- a/entry/entry_prober.cpp
+++ b/entry/entry_prober.cpp
@@ -41,12 +41,12 @@
     return probe.failures < FailuresUntilUnreachable;
 }
 
-asio::awaitable<void> EntryProber::watch()
+asio::awaitable<void> EntryProber::watch(std::shared_ptr<EntryProber> self)
 {
-    while (true) {
-        co_await runtime_.clock().sleep(ProbeInterval);
-        for (auto &host : takeDueHosts())
-            runtime_.spawn(probe(std::move(host)));
+    while (!self->ended_) {
+        co_await self->runtime_.clock().sleep(ProbeInterval);
+        for (auto &host : self->takeDueHosts())
+            self->runtime_.spawn(probe(self, std::move(host)));
     }
 }
 
@@ -68,19 +68,19 @@
     return hosts;
 }
 
-asio::awaitable<void> EntryProber::probe(std::string host)
+asio::awaitable<void> EntryProber::probe(std::shared_ptr<EntryProber> self, std::string host)
 {
-    const auto view = hooks_.view();
+    const auto view = self->hooks_.view();
     if (!view || !view->entryHosts.contains(host))
         co_return;
     const auto endpoint = transport::parseEndpoint(view->entryHosts.at(host).address + ":"
-                                                   + std::to_string(entryPort_));
+                                                   + std::to_string(self->entryPort_));
     if (!isOk(endpoint))
         co_return;
     transport::HttpRequest request("GET", "/v1/health");
-    const auto response = co_await transport::fetchOnce(runtime_, valueOf(endpoint),
+    const auto response = co_await transport::fetchOnce(self->runtime_, valueOf(endpoint),
                                                         std::move(request), ProbeTimeout);
-    record(host, isOk(response));
+    self->record(host, isOk(response));
 }
 
 void EntryProber::record(const std::string &host, bool answered)
--- a/entry/entry_prober.h
+++ b/entry/entry_prober.h
@@ -2,7 +2,9 @@
 
 #include "entry/entry_hooks.h"
 
+#include <atomic>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <string>
 #include <string_view>
@@ -22,8 +24,12 @@
     /// @return false when the host has failed its last tests.
     bool isReachable(std::string_view host);
 
-    /// Tests the noted hosts again and again; runs for the life of the process.
-    boost::asio::awaitable<void> watch();
+    /// Tests the noted hosts again and again, until end().
+    /// @param self prober to run; the coroutine and its tests keep it.
+    static boost::asio::awaitable<void> watch(std::shared_ptr<EntryProber> self);
+
+    /// Lets watch() end at its next round.
+    void end() { ended_ = true; }
 
 private:
     struct Probe
@@ -34,13 +40,14 @@
     };
 
     std::vector<std::string> takeDueHosts();
-    boost::asio::awaitable<void> probe(std::string host);
+    static boost::asio::awaitable<void> probe(std::shared_ptr<EntryProber> self, std::string host);
     void record(const std::string &host, bool answered);
 
     transport::Runtime &runtime_;
     const EntryHooks hooks_;
     const std::string self_;
     const std::uint16_t entryPort_;
+    std::atomic<bool> ended_ = false;
     std::mutex mutex_;
     std::map<std::string, Probe, std::less<>> probes_;
 };
--- a/entry/entry_server.h
+++ b/entry/entry_server.h
@@ -1,64 +1,41 @@
 #pragma once
 
-#include "entry/locator.h"
-#include "entry/non_repeatable_executor.h"
+#include "entry/caller_service.h"
 
 namespace persimmon::entry {
 
-/// Settings of the caller interface.
-struct EntryServerOptions
-{
-    EntryIdentity identity;
-    /// How long callers may keep a locate answer.
-    std::chrono::milliseconds validFor{3000};
-    std::uint16_t entryPort = protocol::EntryPort;
-};
-
-/// The HTTP interface for callers: GET /v1/locate and POST /v1/query.
+/// The HTTP interface for callers: GET /v1/locate and POST /v1/query. It may be destroyed while its
+/// coroutines run, since they own the caller service.
 class EntryServer
 {
 public:
+    /// @param runtime must outlive the server and its coroutines, as must @p metrics and what the
+    ///        hooks refer to.
     EntryServer(transport::Runtime &runtime, transport::Metrics &metrics, EntryHooks hooks,
                 ExecuteQuery execute, EntryServerOptions options);
+    ~EntryServer();
+    EntryServer(const EntryServer &) = delete;
+    EntryServer &operator=(const EntryServer &) = delete;
 
     /// Binds and begins to accept.
     transport::TransportResult<transport::Endpoint> listen(const transport::Endpoint &endpoint);
 
     /// Leaves locate answers, serves out the validity period, refuses new requests with a better
-    /// address, and ends when no request is running.
+    /// address, and ends when no request is running. The server must outlive this call.
     boost::asio::awaitable<void> shutdown();
 
-    /// Closes the listener and every connection at once.
-    void close() { server_.close(); }
+    /// Closes the listener and every connection at once, and lets the watches end.
+    void close();
 
-    /// Watches epochs and whether this host is in service; runs for the life of the process.
-    boost::asio::awaitable<void> watch();
+    /// Watches epochs and whether this host is in service, until close() or shutdown() has ended.
+    boost::asio::awaitable<void> watch() { return CallerService::watch(service_); }
 
-    /// Tests the entries that locate answers name; runs for the life of the process.
-    boost::asio::awaitable<void> watchEntries() { return prober_.watch(); }
+    /// Tests the entries that locate answers name, as long as watch() runs.
+    boost::asio::awaitable<void> watchEntries() { return service_->watchEntries(); }
 
 private:
-    boost::asio::awaitable<transport::HttpResponse> handle(transport::HttpRequest request);
-    transport::HttpResponse handleLocate(const std::string &target);
-    boost::asio::awaitable<protocol::QueryAnswer> handleQuery(std::string body);
-    boost::asio::awaitable<protocol::QueryAnswer> runQuery(protocol::QueryRequest request);
-    boost::asio::awaitable<std::optional<protocol::QueryAnswer>>
-    findRefusal(const protocol::QueryRequest &request);
-    boost::asio::awaitable<bool> isViewVerified();
-    protocol::QueryAnswer refuseShutdown(const std::string &caller);
-    bool isInService() const;
-    void record(const protocol::QueryAnswer &answer);
-
     transport::Runtime &runtime_;
-    transport::Metrics &metrics_;
-    const EntryHooks hooks_;
-    const ExecuteQuery execute_;
-    const EntryServerOptions options_;
-    EntryProber prober_;
-    const Locator locator_;
-    NonRepeatableExecutor nonRepeatable_;
-    std::atomic<bool> refusing_ = false;
-    std::atomic<bool> stopping_ = false;
+    const std::shared_ptr<CallerService> service_;
     transport::HttpServer server_;
 };
 
--- a/tests/entry/query_fixture.h
+++ b/tests/entry/query_fixture.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace persimmon::tests {
@@ -115,6 +116,7 @@
 {
 public:
     static constexpr int Shards = 4;
+    static constexpr std::chrono::milliseconds TeardownTime{100};
 
     explicit QueryFixture(bool canary)
         : first_(runtime, valueOf(transport::parseEndpoint("127.0.0.1:0"))),
@@ -138,7 +140,13 @@
         runtime.start();
     }
 
-    ~QueryFixture() { runtime.stop(); }
+    ~QueryFixture()
+    {
+        // Open sub-requests keep their queries; they end with the links while handlers still run.
+        links.close();
+        std::this_thread::sleep_for(TeardownTime);
+        runtime.stop();
+    }
 
     protocol::Profile &profile() { return view->profiles["p"]; }
 
--- a/tests/entry/test_entry_server.cpp
+++ b/tests/entry/test_entry_server.cpp
@@ -3,7 +3,9 @@
 #include <boost/asio/use_future.hpp>
 #include <doctest/doctest.h>
 
+#include <functional>
 #include <future>
+#include <thread>
 
 using namespace persimmon;
 using namespace persimmon::entry;
@@ -21,6 +23,7 @@
     transport::Metrics metrics;
     std::shared_ptr<state::ClusterView> view = std::make_shared<state::ClusterView>();
     std::atomic<int> runs = 0;
+    std::function<void()> beforeRun = [] {};
     std::unique_ptr<EntryServer> server;
     transport::Endpoint endpoint;
 
@@ -37,6 +40,7 @@
         const auto execute = [this](protocol::QueryRequest, state::TimePoint,
                                     LateHandler) -> boost::asio::awaitable<protocol::QueryAnswer> {
             ++runs;
+            beforeRun();
             protocol::QueryAnswer answer;
             answer.outcome = Outcome::Done;
             answer.items = "[]";
@@ -50,7 +54,8 @@
 
     ~Server()
     {
-        server->close();
+        if (server)
+            server->close();
         runtime.stop();
     }
 
@@ -121,3 +126,33 @@
     CHECK(server.post(elsewhere).outcome == Outcome::Unknown);
     CHECK(server.runs == 1);
 }
+
+// Guards against coroutines that use the server after its end: watches, and requests that run when
+// the server is destroyed. A sanitizer build shows the use.
+TEST_CASE("the server may end while its coroutines run")
+{
+    Server server;
+    server.runtime.spawn(server.server->watch());
+    server.runtime.spawn(server.server->watchEntries());
+    std::promise<void> running;
+    std::promise<void> release;
+    auto released = release.get_future().share();
+    server.beforeRun = [&] {
+        running.set_value();
+        released.wait();
+    };
+    const auto body = makeBody("fee", R"(,"key":"k","request_id":"h3.4fa1.0:a")");
+    auto fetch = transport::fetchOnce(server.runtime, server.endpoint,
+                                      transport::HttpRequest("POST", "/v1/query", body),
+                                      std::chrono::seconds(5));
+    auto answered = boost::asio::co_spawn(server.runtime.context(), std::move(fetch),
+                                          boost::asio::use_future);
+    running.get_future().wait();
+    server.server.reset();
+    release.set_value();
+    // The connection closes with the server, before or after the answer; the request has run.
+    answered.wait();
+    CHECK(server.runs == 1);
+    // Both watches have passed a check after the end.
+    std::this_thread::sleep_for(std::chrono::milliseconds(800));
+}
--- a/transport/frame_connection.cpp
+++ b/transport/frame_connection.cpp
@@ -54,8 +54,10 @@
     onFrame_ = std::move(onFrame);
     onClose_ = std::move(onClose);
     const auto executor = socket_.get_executor();
-    asio::co_spawn(executor, readFrames(), asio::detached);
-    asio::co_spawn(executor, watchLiveness(), asio::detached);
+    // The coroutines begin later; until then only these handlers keep the connection.
+    const auto keep = [self = shared_from_this()](const std::exception_ptr &) {};
+    asio::co_spawn(executor, readFrames(), keep);
+    asio::co_spawn(executor, watchLiveness(), keep);
 }
 
 bool FrameConnection::send(std::string payload)
