Merge branch 'refs/heads/main' into entry

Conflict: EntryServer was split into EntryServer and CallerService here while main added the refusal log to it. The log and its use are now in CallerService; EntryServer::refusals() hands it out as before.

Checked: entry and persimmon_entry compile, format and lint are clean. The system tests were not run on the merged tree.

--- a/entry/caller_service.cpp
+++ b/entry/caller_service.cpp
@@ -29,15 +29,6 @@
 /// a new incarnation, which ends it earlier.
 constexpr std::chrono::minutes LeavingDuration{5};
 
-std::string_view errorName(CallerError error)
-{
-    for (const auto &row : protocol::CallerErrorTable) {
-        if (row.error == error)
-            return row.name;
-    }
-    return "none";
-}
-
 } // namespace
 
 HttpResponse makeResponse(const QueryAnswer &answer)
@@ -151,9 +142,15 @@
     if (!isOk(decoded))
         co_return protocol::makeRefusal(CallerError::MalformedBody, errorOf(decoded).message);
     auto request = takeValue(decoded);
-    const auto id = request.requestId.value_or("");
+    const auto id = request.requestId;
+    RefusalRow row;
+    row.caller = request.caller;
+    row.profile = request.profile;
     auto answer = co_await runQuery(std::move(request));
-    answer.requestId = id;
+    if (id)
+        answer.requestId = *id;
+    if (answer.outcome != protocol::Outcome::Done)
+        logRefusal(std::move(row), answer);
     co_return answer;
 }
 
@@ -215,10 +212,22 @@
     return answer;
 }
 
+void CallerService::logRefusal(RefusalRow row, const QueryAnswer &answer)
+{
+    const auto view = hooks_.view();
+    row.time = std::chrono::system_clock::now();
+    row.requestId = answer.requestId;
+    row.outcome = answer.outcome;
+    row.error = answer.error;
+    row.message = answer.message;
+    row.configRevision = view ? view->configRevision : 0;
+    refusals_.add(std::move(row));
+}
+
 void CallerService::record(const QueryAnswer &answer)
 {
     const auto outcome = std::string(enumName(protocol::OutcomeNames, answer.outcome));
-    const auto error = std::string(errorName(answer.error));
+    const auto error = std::string(protocol::callerErrorName(answer.error));
     metrics_.counter("persimmon_entry_queries_total", "Queries by outcome and error.",
                      "outcome=\"" + outcome + "\",error=\"" + error + "\"")
             .add();
--- a/entry/caller_service.h
+++ b/entry/caller_service.h
@@ -2,6 +2,7 @@
 
 #include "entry/locator.h"
 #include "entry/non_repeatable_executor.h"
+#include "entry/refusal_log.h"
 
 namespace persimmon::entry {
 
@@ -36,6 +37,9 @@
     /// Tests the entries that locate answers name, until end().
     boost::asio::awaitable<void> watchEntries() const { return EntryProber::watch(prober_); }
 
+    /// @return the last requests that did not end as done.
+    const RefusalLog &refusals() const { return refusals_; }
+
     /// Lets this entry disappear from locate answers.
     /// @return how long callers may still get and use answers that name this entry.
     transport::Duration announceLeaving();
@@ -57,6 +61,7 @@
     void check();
     bool isInService() const;
     state::TimePoint now() const { return runtime_.clock().now(); }
+    void logRefusal(RefusalRow row, const protocol::QueryAnswer &answer);
     void record(const protocol::QueryAnswer &answer);
 
     transport::Runtime &runtime_;
@@ -67,6 +72,7 @@
     const std::shared_ptr<EntryProber> prober_;
     const Locator locator_;
     NonRepeatableExecutor nonRepeatable_;
+    RefusalLog refusals_;
     std::atomic<bool> refusing_ = false;
     std::atomic<bool> stopping_ = false;
     std::atomic<bool> ended_ = false;
--- a/entry/entry_server.h
+++ b/entry/entry_server.h
@@ -33,6 +33,9 @@
     /// Tests the entries that locate answers name, as long as watch() runs.
     boost::asio::awaitable<void> watchEntries() { return service_->watchEntries(); }
 
+    /// @return the last requests that did not end as done.
+    const RefusalLog &refusals() const { return service_->refusals(); }
+
 private:
     transport::Runtime &runtime_;
     const std::shared_ptr<CallerService> service_;
