--- a/state/execution_queue.h
+++ b/state/execution_queue.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "protocol/priority.h"
+#include "state/latency_record.h"
 
 #include <array>
 #include <cstdint>
@@ -17,6 +18,12 @@
     /// Every grant of this number goes to the lowest waiting priority, so that bulk is not starved.
     static constexpr std::uint64_t LowestPriorityInterval = 20;
 
+    /// @param limit executions that may run at the same time.
+    /// @param median observed execution time, if known.
+    /// @return sub-requests that can be executed within @p timeLeft.
+    static std::size_t capacity(std::size_t limit, std::optional<Duration> median,
+                                Duration timeLeft);
+
     /// Adds a sub-request.
     /// @param capacity how many can be served within the deadline; at least one is kept.
     /// @return the sub-request that is refused for it: the newest of the lowest priority, which may
--- a/state/service_scheduler.cpp
+++ b/state/service_scheduler.cpp
@@ -7,8 +7,6 @@
 
 namespace {
 
-/// Execution time that is assumed before enough answers were observed.
-constexpr std::chrono::milliseconds AssumedExecutionTime{5};
 /// Delay of a hedge before enough answers were observed.
 constexpr std::chrono::milliseconds AssumedHedgeDelay{50};
 constexpr std::chrono::milliseconds LeastHedgeDelay{5};
@@ -18,8 +16,6 @@
 constexpr int LeastHedgeMedians = 2;
 /// An attempt without an answer after this many hedge delays is given up once it is hedged.
 constexpr int SilenceFactor = 4;
-/// Bound of the queue when the observed execution time is tiny.
-constexpr double LargestQueue = 10'000;
 
 } // namespace
 
@@ -256,9 +252,9 @@
 
 void ServiceScheduler::refuseQuarantined(SchedulerActions &actions, std::uint64_t fingerprint)
 {
+    using enum protocol::SubError;
     refuseWaiting(actions, [fingerprint](const Sub &sub) {
-        return sub.work.fingerprint == fingerprint ? protocol::SubError::Quarantined
-                                                   : protocol::SubError::None;
+        return sub.work.fingerprint == fingerprint ? Quarantined : None;
     });
 }
 
@@ -395,10 +391,7 @@
 
 std::size_t ServiceScheduler::queueCapacity(const SubWork &work, TimePoint now) const
 {
-    const auto median = latency_.median().value_or(AssumedExecutionTime);
-    const auto rounds = std::chrono::duration<double>(work.deadline - now) / median;
-    const auto capacity = static_cast<double>(replicas_.totalLimit()) * std::max(rounds, 0.0);
-    return static_cast<std::size_t>(std::min(capacity, LargestQueue));
+    return ExecutionQueue::capacity(replicas_.totalLimit(), latency_.median(), work.deadline - now);
 }
 
 Duration ServiceScheduler::hedgeDelay() const
