--- a/state/service_scheduler.cpp
+++ b/state/service_scheduler.cpp
@@ -40,7 +40,9 @@
         reply(actions, sub, protocol::SubError::Quarantined);
     refuseUnservable(actions, now, work.id);
     if (!sub.replied) {
-        const auto refused = queue_.push(work.id, work.priority, queueCapacity(work, now));
+        const auto capacity = ExecutionQueue::capacity(replicas_.totalLimit(), latency_.median(),
+                                                       work.deadline - now);
+        const auto refused = queue_.push(work.id, work.priority, capacity);
         if (refused)
             reply(actions, subs_.at(*refused), protocol::SubError::Overloaded);
         if (refused && *refused != work.id)
@@ -151,10 +153,9 @@
     // the entry sends it again.
     const bool lost = executed && sub.work.canary && crashes_.isSuspect(sub.work.fingerprint);
     bool retry = now < sub.work.deadline && !quarantined && !lost;
-    if (executed)
-        retry = retry && sub.work.repeatable && budget_.tryTake();
-    else
-        retry = retry && ++sub.refusals <= RefusalLimit;
+    if (retry)
+        retry = executed ? sub.work.repeatable && budget_.tryTake()
+                         : ++sub.refusals <= RefusalLimit;
     if (!retry) {
         reply(actions, sub, sub.lastError);
         return;
@@ -389,11 +390,6 @@
         subs_.erase(found);
 }
 
-std::size_t ServiceScheduler::queueCapacity(const SubWork &work, TimePoint now) const
-{
-    return ExecutionQueue::capacity(replicas_.totalLimit(), latency_.median(), work.deadline - now);
-}
-
 Duration ServiceScheduler::hedgeDelay() const
 {
     const Duration observed = latency_.percentile95().value_or(AssumedHedgeDelay);
--- a/state/service_scheduler.h
+++ b/state/service_scheduler.h
@@ -106,7 +106,6 @@
     void send(SchedulerActions &actions, Sub &sub, SubReply message);
     void setDue(Sub &sub, TimePoint due);
     void removeIfDone(std::uint64_t id);
-    std::size_t queueCapacity(const SubWork &work, TimePoint now) const;
     Duration hedgeDelay() const;
 
     ReplicaSet replicas_;
