--- a/entry/query_run.cpp
+++ b/entry/query_run.cpp
@@ -275,6 +275,7 @@
             co_return;
         hedgeOverdue();
         releaseHeld();
+        hedgeOverdue();
         auto until = merge_->nextDecision(now());
         if (canary_ && !canary_->released && !canary_->lost)
             until = std::min(until, canary_->holdUntil);
--- a/state/execution_queue.h
+++ b/state/execution_queue.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "protocol/priority.h"
+#include "state/latency_record.h"
 
 #include <array>
 #include <cstdint>
--- a/state/service_scheduler.cpp
+++ b/state/service_scheduler.cpp
@@ -148,10 +148,9 @@
     // the entry sends it again.
     const bool lost = executed && sub.work.canary && crashes_.isSuspect(sub.work.fingerprint);
     bool retry = now < sub.work.deadline && !quarantined && !lost;
-    if (executed)
-        retry = retry && sub.work.repeatable && budget_.tryTake();
-    else
-        retry = retry && ++sub.refusals <= RefusalLimit;
+    if (retry)
+        retry = executed ? sub.work.repeatable && budget_.tryTake()
+                         : ++sub.refusals <= RefusalLimit;
     if (!retry) {
         reply(actions, sub, sub.lastError);
         return;
@@ -249,9 +248,9 @@
 
 void ServiceScheduler::refuseQuarantined(SchedulerActions &actions, std::uint64_t fingerprint)
 {
+    using enum protocol::SubError;
     refuseWaiting(actions, [fingerprint](const Sub &sub) {
-        return sub.work.fingerprint == fingerprint ? protocol::SubError::Quarantined
-                                                   : protocol::SubError::None;
+        return sub.work.fingerprint == fingerprint ? Quarantined : None;
     });
 }
 
