--- a/state/execution_queue.cpp
+++ b/state/execution_queue.cpp
@@ -4,24 +4,6 @@
 
 namespace persimmon::state {
 
-namespace {
-
-/// Execution time that is assumed before enough answers were observed.
-constexpr std::chrono::milliseconds AssumedExecutionTime{5};
-/// Bound of the queue when the observed execution time is tiny.
-constexpr double LargestQueue = 10'000;
-
-} // namespace
-
-std::size_t ExecutionQueue::capacity(std::size_t limit, std::optional<Duration> median,
-                                     Duration timeLeft)
-{
-    const auto time = median.value_or(AssumedExecutionTime);
-    const auto rounds = std::chrono::duration<double>(timeLeft) / time;
-    const auto capacity = static_cast<double>(limit) * std::max(rounds, 0.0);
-    return static_cast<std::size_t>(std::min(capacity, LargestQueue));
-}
-
 std::deque<std::uint64_t> &ExecutionQueue::lineOf(protocol::Priority priority)
 {
     return lines_[static_cast<std::size_t>(priority)];
--- a/state/execution_queue.h
+++ b/state/execution_queue.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "protocol/priority.h"
-#include "state/latency_record.h"
 
 #include <array>
 #include <cstdint>
