Name a returning entry only when it serves again

Cause: misc/demo.sh footlights failed one of 300 queries with shutting_down while a failure domain came back: an entry that was back in its own view refused until its next check 250 ms later, and other entries named it before it knew that it was back. Ruled out: the departure, whose refusals all named an entry that served. Change: an entry refuses by the view in force; GET /v1/health answers 503 while it refuses; an entry that was unavailable needs a successful test before it is named. persimmon-load and persimmonctl write JSON numbers in decimal form. Conclusion: locate answers, refusals and the view now agree on a return.

--- a/ctl/text_report.cpp
+++ b/ctl/text_report.cpp
@@ -1,5 +1,7 @@
 #include "ctl/text_report.h"
 
+#include "protocol/protocol.h"
+
 #include <algorithm>
 #include <vector>
 
@@ -21,12 +23,12 @@
 std::string scalarText(const json::value &value)
 {
     if (!value.is_string())
-        return json::serialize(value);
+        return protocol::serializeJson(value);
     const auto &text = value.get_string();
     // Control characters from a remote process must not reach the terminal.
     const auto isControl = [](unsigned char letter) { return letter < 0x20 || letter == 0x7f; };
     if (std::any_of(text.begin(), text.end(), isControl))
-        return json::serialize(value);
+        return protocol::serializeJson(value);
     return {text.data(), text.size()};
 }
 
@@ -114,7 +116,7 @@
 
 std::string report(const json::value &value, bool asJson)
 {
-    return asJson ? json::serialize(value) + "\n" : renderText(value);
+    return asJson ? protocol::serializeJson(value) + "\n" : renderText(value);
 }
 
 } // namespace persimmon::ctl
--- a/entry/caller_service.cpp
+++ b/entry/caller_service.cpp
@@ -29,6 +29,10 @@
 /// a new incarnation, which ends it earlier.
 constexpr std::chrono::minutes LeavingDuration{5};
 
+/// Statuses of GET /v1/health.
+constexpr int HealthyStatus = 200;
+constexpr int RefusingStatus = 503;
+
 } // namespace
 
 HttpResponse makeResponse(const QueryAnswer &answer)
@@ -66,7 +70,6 @@
 void CallerService::refuseNewRequests()
 {
     stopping_ = true;
-    refusing_ = true;
 }
 
 asio::awaitable<void> CallerService::watch(std::shared_ptr<CallerService> self)
@@ -83,11 +86,13 @@
     nonRepeatable_.dropExpired();
     if (isInService())
         inServiceAt_ = now();
-    const bool refuse = now() - inServiceAt_ > options_.validFor + OutOfServiceMargin;
-    if (refuse == refusedHere_)
-        return;
-    refusedHere_ = refuse;
-    refusing_ = refuse || stopping_;
+    outForLong_ = now() - inServiceAt_ > options_.validFor + OutOfServiceMargin;
+}
+
+bool CallerService::isRefusing() const
+{
+    // The view may say that the host is back before the next round of watch().
+    return stopping_ || (outForLong_ && !isInService());
 }
 
 bool CallerService::isInService() const
@@ -107,7 +112,7 @@
     if (request.method == "GET" && path == "/v1/locate")
         co_return handleLocate(request.target);
     if (request.method == "GET" && path == "/v1/health")
-        co_return HttpResponse(200, "{}");
+        co_return HttpResponse(isRefusing() ? RefusingStatus : HealthyStatus, "{}");
     if (request.method != "POST" || path != "/v1/query")
         co_return makeResponse(protocol::makeRefusal(CallerError::NotFound, "no such resource"));
     const auto start = now();
@@ -179,7 +184,7 @@
 asio::awaitable<std::optional<QueryAnswer>>
 CallerService::findRefusal(const protocol::QueryRequest &request)
 {
-    if (refusing_)
+    if (isRefusing())
         co_return refuseShutdown(request.caller);
     if (!co_await isViewVerified())
         co_return protocol::makeRefusal(CallerError::StaleView, "the view is not confirmed");
--- a/entry/caller_service.h
+++ b/entry/caller_service.h
@@ -60,6 +60,7 @@
     protocol::QueryAnswer refuseShutdown(const std::string &caller);
     void check();
     bool isInService() const;
+    bool isRefusing() const;
     state::TimePoint now() const { return runtime_.clock().now(); }
     void logRefusal(RefusalRow row, const protocol::QueryAnswer &answer);
     void record(const protocol::QueryAnswer &answer);
@@ -73,12 +74,11 @@
     const Locator locator_;
     NonRepeatableExecutor nonRepeatable_;
     RefusalLog refusals_;
-    std::atomic<bool> refusing_ = false;
+    std::atomic<bool> outForLong_ = false;
     std::atomic<bool> stopping_ = false;
     std::atomic<bool> ended_ = false;
     /// Only watch() uses these two.
     state::TimePoint inServiceAt_{};
-    bool refusedHere_ = false;
 };
 
 } // namespace persimmon::entry
--- a/entry/entry_prober.cpp
+++ b/entry/entry_prober.cpp
@@ -20,6 +20,8 @@
 /// Hosts tested in one round at most, which bounds the load when thousands of entries exist.
 constexpr std::size_t MaxProbesPerRound = 16;
 
+constexpr int HealthyStatus = 200;
+
 } // namespace
 
 EntryProber::EntryProber(transport::Runtime &runtime, EntryHooks hooks, std::string self,
@@ -53,7 +55,10 @@
 std::vector<std::string> EntryProber::takeDueHosts()
 {
     const auto now = runtime_.clock().now();
+    const auto view = hooks_.view();
     const std::lock_guard lock(mutex_);
+    if (view)
+        holdUnavailable(*view, now);
     std::erase_if(probes_,
                   [&](const auto &entry) { return now - entry.second.lastAsked > Interest; });
     std::vector<std::string> hosts;
@@ -68,6 +73,14 @@
     return hosts;
 }
 
+void EntryProber::holdUnavailable(const state::ClusterView &view, transport::TimePoint now)
+{
+    for (const auto &[name, host] : view.entryHosts) {
+        if (name != self_ && !view.isAvailable(host))
+            probes_[name] = {now, now, FailuresUntilUnreachable};
+    }
+}
+
 asio::awaitable<void> EntryProber::probe(std::shared_ptr<EntryProber> self, std::string host)
 {
     const auto view = self->hooks_.view();
@@ -80,7 +93,7 @@
     transport::HttpRequest request("GET", "/v1/health");
     const auto response = co_await transport::fetchOnce(self->runtime_, valueOf(endpoint),
                                                         std::move(request), ProbeTimeout);
-    self->record(host, isOk(response));
+    self->record(host, isOk(response) && valueOf(response).status == HealthyStatus);
 }
 
 void EntryProber::record(const std::string &host, bool answered)
--- a/entry/entry_prober.h
+++ b/entry/entry_prober.h
@@ -39,6 +39,9 @@
         int failures = 0;
     };
 
+    /// A host that returns may not know it yet and refuse, so that it needs a successful test
+    /// first.
+    void holdUnavailable(const state::ClusterView &view, transport::TimePoint now);
     std::vector<std::string> takeDueHosts();
     static boost::asio::awaitable<void> probe(std::shared_ptr<EntryProber> self, std::string host);
     void record(const std::string &host, bool answered);
--- a/main/persimmon_load.cpp
+++ b/main/persimmon_load.cpp
@@ -1,4 +1,5 @@
 #include "load/load.h"
+#include "protocol/protocol.h"
 #include "transport/log.h"
 #include "transport/settings.h"
 
@@ -88,7 +89,7 @@
     }(generator, runtime, completed));
     runtime.run();
     if (settings.isOn("json"))
-        std::cout << boost::json::serialize(generator.report().toJson()) << "\n";
+        std::cout << persimmon::protocol::serializeJson(generator.report().toJson()) << "\n";
     else
         std::cout << generator.report().toTable();
     return completed ? 0 : 1;
--- a/protocol/protocol.h
+++ b/protocol/protocol.h
@@ -6,6 +6,7 @@
 #include "protocol/default_ports.h"
 #include "protocol/frame_codec.h"
 #include "protocol/frame_messages.h"
+#include "protocol/json_writer.h"
 #include "protocol/platform_codec.h"
 #include "protocol/platform_messages.h"
 #include "protocol/priority.h"
