--- a/transport/frame_server.cpp
+++ b/transport/frame_server.cpp
@@ -1,5 +1,7 @@
 #include "transport/frame_server.h"
 
+#include "transport/acceptor.h"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -57,22 +59,10 @@
 
 TransportResult<Endpoint> FrameServer::listen(const Endpoint &endpoint)
 {
-    auto &acceptor = state_->acceptor;
-    boost::system::error_code error;
-    acceptor.open(endpoint.protocol(), error);
-    if (!error)
-        acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-    if (!error)
-        acceptor.bind(endpoint, error);
-    if (!error)
-        acceptor.listen(asio::socket_base::max_listen_connections, error);
-    if (error) {
-        return TransportError{TransportErrorCode::BindFailed, "cannot listen on "
-                                                                      + formatEndpoint(endpoint)
-                                                                      + ": " + error.message()};
-    }
-    asio::co_spawn(acceptor.get_executor(), State::accept(state_), asio::detached);
-    return acceptor.local_endpoint();
+    auto bound = openAcceptor(state_->acceptor, endpoint);
+    if (isOk(bound))
+        asio::co_spawn(state_->acceptor.get_executor(), State::accept(state_), asio::detached);
+    return bound;
 }
 
 void FrameServer::close()
--- a/transport/http_server.cpp
+++ b/transport/http_server.cpp
@@ -1,5 +1,6 @@
 #include "transport/http_server.h"
 
+#include "transport/acceptor.h"
 #include "transport/log.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -201,22 +202,10 @@
 
 TransportResult<Endpoint> HttpServer::listen(const Endpoint &endpoint)
 {
-    boost::system::error_code error;
-    auto &acceptor = state_->acceptor;
-    acceptor.open(endpoint.protocol(), error);
-    if (!error)
-        acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-    if (!error)
-        acceptor.bind(endpoint, error);
-    if (!error)
-        acceptor.listen(asio::socket_base::max_listen_connections, error);
-    if (error) {
-        return TransportError{TransportErrorCode::BindFailed, "cannot listen on "
-                                                                      + formatEndpoint(endpoint)
-                                                                      + ": " + error.message()};
-    }
-    asio::co_spawn(acceptor.get_executor(), State::accept(state_), asio::detached);
-    return acceptor.local_endpoint();
+    auto bound = openAcceptor(state_->acceptor, endpoint);
+    if (isOk(bound))
+        asio::co_spawn(state_->acceptor.get_executor(), State::accept(state_), asio::detached);
+    return bound;
 }
 
 asio::awaitable<void> HttpServer::drain()
--- a/transport/transport.h
+++ b/transport/transport.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "transport/acceptor.h"
 #include "transport/clock.h"
 #include "transport/endpoint.h"
 #include "transport/frame_connection.h"
