--- a/misc/check_mutations.sh
+++ b/misc/check_mutations.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Removes one mechanism after another from a copy of the sources and checks that its test fails
-# then. Prints one line for each; exit 0 only if every test noticed. Takes about ten minutes.
+# then. Prints one line for each; exit 0 only if every test noticed. Takes about five minutes on 10 cores.
 # Usage: misc/check_mutations.sh [NAME...]
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -87,12 +87,11 @@
 mutate invalid-value-accepted state/config_store.cpp \
   's/change\.fault = errorOf\(parsed\);/change.fault = errorOf(parsed);\n        next.valid = entry;\n        next.document.reset();/' \
   test_state '*'
-mutate shutdown-without-wait entry/entry_server.cpp \
-  's/co_await runtime_\.clock\(\)\.sleep\(options_\.validFor \+ OutOfServiceMargin\);//' \
+mutate shutdown-without-wait entry/caller_service.cpp \
+  's/return options_\.validFor \+ OutOfServiceMargin;/return std::chrono::milliseconds(0);/' \
   test_system 'a rolling restart*'
 mutate pause-not-noticed coordination/view_client.cpp \
   's/return state_->unverified \|\| [^;]*;/return false;/' test_coordination '*'
-switchOff ramp-off PERSIMMON_TEST_DISPATCH_FLAGS '--ramp off' 'upstreams that turn cold*'
 switchOff canary-off PERSIMMON_TEST_ENTRY_FLAGS '--canary off' 'a crashing query*'
 switchOff naive-crash PERSIMMON_TEST_ENTRY_FLAGS '--policy naive' 'a crashing query*'
 switchOff naive-cold PERSIMMON_TEST_ENTRY_FLAGS '--policy naive' 'upstreams that turn cold*'
