--- /dev/null
+++ b/coordination/peer_exchange.cpp
@@ -0,0 +1,180 @@
+#include "coordination/peer_exchange.h"
+
+#include "coordination/jitter.h"
+
+#include <algorithm>
+#include <random>
+
+namespace asio = boost::asio;
+
+namespace persimmon::coordination {
+
+namespace {
+
+constexpr const char *Part = "peers";
+constexpr const char *ExchangeTarget = "/exchange";
+constexpr std::chrono::milliseconds ExchangeTimeout{600};
+/// Pause before a host that did not answer is asked again; doubles up to the longest.
+constexpr std::chrono::milliseconds FirstRetry{500};
+constexpr int MostDoublings = 3;
+/// Rounds right after the start, until the hosts know each other.
+constexpr int FastRounds = 10;
+constexpr std::chrono::milliseconds FastRoundTime{200};
+
+} // namespace
+
+PeerExchange::PeerExchange(transport::Runtime &runtime, state::EntryMembership &membership,
+                           RecordFollower &follower, std::function<void()> onMembership)
+    : runtime_(runtime),
+      membership_(membership),
+      follower_(follower),
+      onMembership_(std::move(onMembership)),
+      server_(runtime,
+              [this](transport::HttpRequest request) { return answer(std::move(request)); })
+{
+}
+
+transport::TransportResult<transport::Endpoint>
+PeerExchange::listen(const transport::Endpoint &endpoint)
+{
+    return server_.listen(endpoint);
+}
+
+void PeerExchange::start()
+{
+    runtime_.spawn(run());
+}
+
+asio::awaitable<void> PeerExchange::run()
+{
+    for (int round = 0;; ++round) {
+        membership_.beat();
+        if (membership_.expire(runtime_.clock().now())) {
+            transport::logWarning(Part, "a host is silent and counts as dead",
+                                  {{"live", std::to_string(membership_.liveCount())}});
+            onMembership_();
+        }
+        for (const auto &peer : choosePeers())
+            runtime_.spawn(ask(peer));
+        co_await runtime_.clock().sleep(round < FastRounds ? FastRoundTime : RoundTime);
+    }
+}
+
+void PeerExchange::announce()
+{
+    for (const auto &peer : membership_.livePeers())
+        runtime_.spawn(ask(peer));
+}
+
+std::vector<std::string> PeerExchange::choosePeers()
+{
+    static std::mt19937_64 random{std::random_device{}()};
+    auto peers = membership_.livePeers();
+    std::shuffle(peers.begin(), peers.end(), random);
+    if (peers.size() > FanOut)
+        peers.resize(FanOut);
+    // Seeds join hosts that lost sight of each other.
+    const auto live = membership_.livePeers();
+    for (const auto &seed : seeds_) {
+        const bool known = std::find(live.begin(), live.end(), seed) != live.end();
+        if (!known && seed != membership_.self().control)
+            peers.push_back(seed);
+    }
+    return peers;
+}
+
+PeerMessage PeerExchange::makeMessage() const
+{
+    PeerMessage message;
+    message.rows = membership_.liveRows();
+    message.revision = follower_.mirror().revision();
+    message.wantsRecords = follower_.needsPeers();
+    return message;
+}
+
+asio::awaitable<void> PeerExchange::ask(std::string peer)
+{
+    auto &slot = links_[peer];
+    if (!slot)
+        slot = std::make_shared<Link>();
+    const auto link = slot;
+    if (link->busy || runtime_.clock().now() < link->nextTry)
+        co_return;
+    link->busy = true;
+    const bool answered = co_await askOnce(peer, link);
+    link->busy = false;
+    if (!answered && link->connection) {
+        link->connection->close();
+        link->connection.reset();
+    }
+}
+
+asio::awaitable<bool> PeerExchange::askOnce(std::string peer, std::shared_ptr<Link> link)
+{
+    if (!link->connection || !link->connection->isOpen() || link->connection->isPeerClosed()) {
+        const auto endpoint = transport::parseEndpoint(peer);
+        if (!isOk(endpoint))
+            co_return false;
+        link->connection = std::make_shared<transport::HttpConnection>(runtime_.makeStrand());
+        const auto connected =
+                co_await link->connection->connect(valueOf(endpoint), ExchangeTimeout);
+        if (!isOk(connected)) {
+            noteFailure(peer, *link, errorOf(connected).message);
+            co_return false;
+        }
+    }
+    transport::HttpRequest request("POST", ExchangeTarget, encodePeerMessage(makeMessage()));
+    const auto response = co_await link->connection->send(std::move(request), ExchangeTimeout);
+    if (!isOk(response)) {
+        noteFailure(peer, *link, errorOf(response).message);
+        co_return false;
+    }
+    const auto message = decodePeerMessage(valueOf(response).body);
+    if (!isOk(message)) {
+        noteFailure(peer, *link, errorOf(message).message);
+        co_return false;
+    }
+    if (link->failures > 0)
+        transport::logInfo(Part, "host answers again", {{"host", peer}});
+    link->failures = 0;
+    take(valueOf(message));
+    co_return true;
+}
+
+void PeerExchange::noteFailure(const std::string &peer, Link &link, const std::string &reason)
+{
+    if (link.failures == 0)
+        transport::logWarning(Part, "host does not answer", {{"host", peer}, {"reason", reason}});
+    const auto doublings = std::min(link.failures, MostDoublings);
+    ++link.failures;
+    link.nextTry = runtime_.clock().now() + FirstRetry * (1 << doublings);
+}
+
+asio::awaitable<transport::HttpResponse> PeerExchange::answer(transport::HttpRequest request)
+{
+    const auto decoded = decodePeerMessage(request.body);
+    if (!isOk(decoded)) {
+        transport::logWarning(Part, "exchange refused", {{"reason", errorOf(decoded).message}});
+        co_return transport::HttpResponse(400, "{}");
+    }
+    const auto &message = valueOf(decoded);
+    take(message);
+    auto reply = makeMessage();
+    if (message.wantsRecords && reply.revision > message.revision)
+        reply.records = follower_.mirror().changesSince(message.revision);
+    co_return transport::HttpResponse(200, encodePeerMessage(reply));
+}
+
+void PeerExchange::take(const PeerMessage &message)
+{
+    if (membership_.merge(message.rows, runtime_.clock().now())) {
+        transport::logInfo(Part, "hosts changed",
+                           {{"live", std::to_string(membership_.liveCount())}});
+        onMembership_();
+    }
+    if (!message.records.empty())
+        follower_.takeFromPeer(message.records, message.revision);
+    follower_.notePeerRevision(message.revision);
+}
+
+} // namespace persimmon::coordination
--- /dev/null
+++ b/coordination/record_follower.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "coordination/coordination_error.h"
+#include "state/record_mirror.h"
+#include "transport/transport.h"
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace persimmon::coordination {
+
+/// Why a read of the platform's store failed.
+enum class StoreFailure {
+    /// No answer, or a refusal; the same call may work later.
+    Unavailable,
+    /// The history that a watch asked for is gone.
+    HistoryGone,
+    Malformed,
+};
+
+inline constexpr std::array<EnumName<StoreFailure>, 3> StoreFailureNames{{
+        {StoreFailure::Unavailable, "unavailable"},
+        {StoreFailure::HistoryGone, "history_gone"},
+        {StoreFailure::Malformed, "malformed"},
+}};
+
+/// One page of a range read.
+struct StorePage
+{
+    std::vector<state::StoreRecord> items;
+    bool hasMore = false;
+    std::uint64_t asOf = 0;
+};
+
+/// Changes that a watch delivered.
+struct StoreChanges
+{
+    std::vector<state::StoreRecord> records;
+    std::uint64_t asOf = 0;
+};
+
+/// How the store is read.
+struct StoreHooks
+{
+    /// Reads the items after a key; an empty key starts at the first.
+    std::function<boost::asio::awaitable<Result<StorePage, StoreFailure>>(std::string after)>
+            readPage;
+    /// Waits for changes after a revision.
+    std::function<boost::asio::awaitable<Result<StoreChanges, StoreFailure>>(
+            std::uint64_t after, std::chrono::milliseconds wait)>
+            watch;
+    /// Closes the connection, so that a running call ends.
+    std::function<void()> reset;
+};
+
+/// Keeps a RecordMirror up to date with one watch of the store, and with what peers pass on while
+/// the store cannot be reached. For one-thread runtimes only.
+class RecordFollower
+{
+public:
+    using OnNews = std::function<void(const std::vector<state::StoreRecord> &)>;
+
+    RecordFollower(transport::Runtime &runtime, StoreHooks hooks, OnNews onNews);
+
+    void start();
+
+    /// Takes records that a peer passed on.
+    /// @param asOf revision up to which they are complete, counted from the revision of the mirror.
+    void takeFromPeer(const std::vector<state::StoreRecord> &records, std::uint64_t asOf);
+
+    /// Takes the revision of a peer. A watch that has missed it for too long is opened anew.
+    void notePeerRevision(std::uint64_t revision);
+
+    /// @return whether peers should pass on what they have.
+    bool needsPeers() const { return (tried_ && !connected_) || behind_; }
+
+    /// @return whether a first complete read, or a peer's records, have arrived.
+    bool isLoaded() const { return mirror_.revision() > 0; }
+
+    const state::RecordMirror &mirror() const { return mirror_; }
+
+private:
+    boost::asio::awaitable<void> run();
+    boost::asio::awaitable<bool> readAll();
+    boost::asio::awaitable<bool> watchOnce();
+    void setConnected(bool connected, StoreFailure reason);
+
+    transport::Runtime &runtime_;
+    const StoreHooks hooks_;
+    const OnNews onNews_;
+    state::RecordMirror mirror_;
+    bool connected_ = false;
+    /// Whether a first call has ended.
+    bool tried_ = false;
+    bool needsSnapshot_ = true;
+    /// Whether a peer knows a later revision, and since when.
+    bool behind_ = false;
+    transport::TimePoint behindSince_{};
+    std::uint64_t peerRevision_ = 0;
+};
+
+} // namespace persimmon::coordination
--- a/dispatch/dispatch.h
+++ b/dispatch/dispatch.h
@@ -6,6 +6,7 @@
 #include "dispatch/dispatch_metrics.h"
 #include "dispatch/dispatch_server.h"
 #include "dispatch/dispatch_session.h"
+#include "dispatch/owned_service.h"
 #include "dispatch/service_executor.h"
 #include "dispatch/upstream_connections.h"
 #include "dispatch/upstream_pool.h"
--- a/dispatch/dispatch_server.cpp
+++ b/dispatch/dispatch_server.cpp
@@ -25,8 +25,7 @@
       hooks_(std::move(hooks)),
       pool_(runtime, metrics),
       metrics_(metrics),
-      context_{runtime, pool_, metrics_, options_,
-               [this](std::uint64_t fingerprint) { quarantine(fingerprint); }},
+      context_{runtime, metrics_, [this](std::uint64_t fingerprint) { quarantine(fingerprint); }},
       frames_(runtime, makeFrameOptions(),
               [this](const auto &connection) { onAccept(connection); }),
       nextId_(options_.incarnation & IdStartMask)
@@ -161,7 +160,7 @@
                             const protocol::SubRequest &sub,
                             const std::shared_ptr<const state::ClusterView> &view)
 {
-    ServiceJob job;
+    OwnedJob job;
     job.work = {nextId_++,         batch.snapshot,  batch.priority,
                 batch.repeatable,  batch.extraLoad, runtime_.clock().now() + batch.timeLeft,
                 batch.fingerprint, batch.canary};
@@ -251,24 +250,24 @@
     frames_.close();
 }
 
-std::shared_ptr<ServiceExecutor> DispatchServer::executorOf(const std::string &service,
-                                                            const std::string &group)
+std::shared_ptr<OwnedService> DispatchServer::executorOf(const std::string &service,
+                                                         const std::string &group)
 {
     const std::lock_guard lock(servicesMutex_);
     auto &executor = services_[service];
     if (!executor)
-        executor = std::make_shared<ServiceExecutor>(context_, service, group);
+        executor = std::make_shared<OwnedService>(context_, pool_, options_, service, group);
     return executor;
 }
 
-std::shared_ptr<ServiceExecutor> DispatchServer::findExecutor(const std::string &service) const
+std::shared_ptr<OwnedService> DispatchServer::findExecutor(const std::string &service) const
 {
     const std::lock_guard lock(servicesMutex_);
     const auto found = services_.find(service);
     return found == services_.end() ? nullptr : found->second;
 }
 
-std::map<std::string, std::shared_ptr<ServiceExecutor>> DispatchServer::executors() const
+std::map<std::string, std::shared_ptr<OwnedService>> DispatchServer::executors() const
 {
     const std::lock_guard lock(servicesMutex_);
     return services_;
@@ -301,7 +300,7 @@
     for (const auto &[service, executor] : executors()) {
         const auto status = executor->status();
         auto &row = result[service];
-        row["first"] = status.first;
+        row["first"] = executor->isFirst();
         row["waiting"] = static_cast<Json::UInt64>(status.waiting);
         row["extra_load_tokens"] = status.budget;
     }
--- a/dispatch/dispatch_server.h
+++ b/dispatch/dispatch_server.h
@@ -2,7 +2,7 @@
 
 #include "dispatch/dispatch_hooks.h"
 #include "dispatch/dispatch_session.h"
-#include "dispatch/service_executor.h"
+#include "dispatch/owned_service.h"
 #include "state/crash_tracker.h"
 
 #include <json/value.h>
@@ -64,10 +64,9 @@
                 const std::shared_ptr<const state::ClusterView> &view);
     bool isQuarantined(const state::ClusterView &view, std::uint64_t fingerprint) const;
     void quarantine(std::uint64_t fingerprint);
-    std::shared_ptr<ServiceExecutor> executorOf(const std::string &service,
-                                                const std::string &group);
-    std::shared_ptr<ServiceExecutor> findExecutor(const std::string &service) const;
-    std::map<std::string, std::shared_ptr<ServiceExecutor>> executors() const;
+    std::shared_ptr<OwnedService> executorOf(const std::string &service, const std::string &group);
+    std::shared_ptr<OwnedService> findExecutor(const std::string &service) const;
+    std::map<std::string, std::shared_ptr<OwnedService>> executors() const;
     std::uint64_t revision() const;
 
     transport::Runtime &runtime_;
@@ -82,7 +81,7 @@
     std::atomic<std::uint64_t> nextId_;
     std::atomic<std::uint64_t> heartbeats_ = 0;
     mutable std::mutex servicesMutex_;
-    std::map<std::string, std::shared_ptr<ServiceExecutor>> services_;
+    std::map<std::string, std::shared_ptr<OwnedService>> services_;
     mutable std::mutex quarantineMutex_;
     /// Fingerprints that this dispatcher has quarantined; the view has them only a little later.
     std::map<std::uint64_t, transport::TimePoint> quarantinedUntil_;
--- a/dispatch/service_executor.cpp
+++ b/dispatch/service_executor.cpp
@@ -1,57 +1,15 @@
 #include "dispatch/service_executor.h"
 
-#include "dispatch/attempt_conversion.h"
-
-#include <algorithm>
-
 namespace asio = boost::asio;
 
 namespace persimmon::dispatch {
 
-namespace {
-
-/// Attempts of one sub-request that get distinct numbers.
-constexpr std::uint64_t AttemptsPerSub = 256;
-
-/// Upstreams see attempt numbers that are unique for all shards of a request id.
-std::uint64_t wireAttempt(std::uint64_t id, std::uint32_t attempt)
-{
-    return id * AttemptsPerSub + attempt;
-}
-
-} // namespace
-
-ServiceExecutor::ServiceExecutor(ExecutorContext &context, std::string service, std::string group)
-    : context_(context),
-      service_(std::move(service)),
-      group_(std::move(group))
-{
-}
+ServiceExecutor::ServiceExecutor(ExecutorContext &context) : context_(context) {}
 
-void ServiceExecutor::configure(const std::shared_ptr<const state::ClusterView> &view)
+void ServiceExecutor::configure(const state::ServiceSettings &settings)
 {
-    {
-        const std::lock_guard lock(mutex_);
-        if (view_ == view || (view_ && view_->configRevision > view->configRevision))
-            return;
-        view_ = view;
-    }
-    const auto group = view->groups.find(group_);
-    const auto settings = group == view->groups.end() ? protocol::GroupSettings{} : group->second;
-    const auto ranking = state::rankDispatchers(*view, service_);
-    const bool first = !ranking.empty() && ranking.front() == context_.options.host;
-    const state::ServiceSettings service{view->availableUpstreams(service_),
-                                         state::shareOfSlots(settings.slots, first),
-                                         settings.slots,
-                                         settings.coldLimit,
-                                         context_.options.ramp,
-                                         context_.options.hedging,
-                                         context_.options.hedgeQuantile};
-    apply([&](state::ServiceScheduler &scheduler, transport::TimePoint now) {
-        first_ = first;
-        connectionLimit_ =
-                std::max<std::size_t>(1, first ? settings.connections : settings.connections / 2);
-        return scheduler.onView(service, now);
+    apply([&settings](state::ServiceScheduler &scheduler, transport::TimePoint now) {
+        return scheduler.onView(settings, now);
     });
 }
 
@@ -81,8 +39,13 @@
 ServiceExecutor::Status ServiceExecutor::status() const
 {
     const std::lock_guard lock(mutex_);
-    return {first_, scheduler_.waiting(), scheduler_.budget().tokens(),
-            scheduler_.replicas().rows()};
+    return {scheduler_.waiting(), scheduler_.budget().tokens(), scheduler_.replicas().rows()};
+}
+
+std::optional<transport::Duration> ServiceExecutor::expectedWait(std::uint32_t workClass) const
+{
+    const std::lock_guard lock(mutex_);
+    return scheduler_.expectedWait(workClass);
 }
 
 void ServiceExecutor::apply(const Event &event)
@@ -103,27 +66,21 @@
                               transport::TimePoint now)
 {
     const auto &job = jobs_.at(action.id);
-    auto request = job.content.request;
-    request.attempt = wireAttempt(action.id, action.attempt);
-    request.deadline =
-            std::chrono::ceil<std::chrono::milliseconds>(job.content.work.deadline - now);
     context_.metrics.onStarted(action.kind);
     if (action.attempt == 1)
         context_.metrics.onFirstAttempt(now - job.arrivedAt);
-    steps.emplace_back([self = shared_from_this(), action, request = std::move(request),
-                        repeatable = job.content.work.repeatable, limit = connectionLimit_] {
-        self->context_.runtime.spawn(self->runAttempt(action, request, repeatable, limit));
+    steps.emplace_back([self = shared_from_this(), action, execute = job.content.execute] {
+        self->context_.runtime.spawn(self->runAttempt(action, execute(action)));
     });
 }
 
 void ServiceExecutor::prepare(Steps &steps, const state::CancelAttempt &action,
                               transport::TimePoint /*now*/)
 {
-    const protocol::CancelExecution cancel{jobs_.at(action.id).content.request.requestId,
-                                           wireAttempt(action.id, action.attempt)};
-    steps.emplace_back([self = shared_from_this(), upstream = action.upstream, cancel] {
-        self->context_.pool.cancel(upstream, cancel);
-    });
+    const auto job = jobs_.find(action.id);
+    if (job == jobs_.end())
+        return;
+    steps.emplace_back([action, cancel = job->second.content.cancel] { cancel(action); });
 }
 
 void ServiceExecutor::prepare(Steps &steps, const state::ScheduleTimer &action,
@@ -154,15 +111,12 @@
 }
 
 asio::awaitable<void> ServiceExecutor::runAttempt(state::StartAttempt action,
-                                                  protocol::ExecuteRequest request, bool repeatable,
-                                                  std::size_t connectionLimit)
+                                                  asio::awaitable<state::AttemptResult> execution)
 {
     const auto self = shared_from_this();
     auto &clock = context_.runtime.clock();
     const auto startedAt = clock.now();
-    auto executed = co_await context_.pool.execute(
-            action.upstream, request, action.deadline - startedAt, connectionLimit, repeatable);
-    const auto result = convertAttempt(std::move(executed));
+    const auto result = co_await std::move(execution);
     context_.metrics.onEnded(result.end, clock.now() - startedAt);
     apply([&](state::ServiceScheduler &scheduler, transport::TimePoint now) {
         return scheduler.onAttemptEnded(action.id, action.attempt, result, now);
--- /dev/null
+++ b/forward/answer_check.cpp
@@ -0,0 +1,53 @@
+#include "forward/answer_check.h"
+
+namespace http = boost::beast::http;
+
+namespace persimmon::forward {
+
+namespace {
+
+constexpr unsigned Misdirected = 421;
+
+state::AttemptEnd endOfRefusal(unsigned status)
+{
+    return status == static_cast<unsigned>(http::status::bad_request)
+                   ? state::AttemptEnd::BadRequest
+                   : state::AttemptEnd::Shed;
+}
+
+} // namespace
+
+state::AttemptResult checkAnswer(UpstreamResponse response, const HeaderNames &names,
+                                 const std::string &requestId)
+{
+    state::AttemptResult result;
+    result.end = state::AttemptEnd::Dropped;
+    const auto echoed = response[names.requestId];
+    if (!echoed.empty() && std::string_view(echoed.data(), echoed.size()) != requestId)
+        return result;
+    const auto status = response.result_int();
+    if (status == Misdirected) {
+        result.end = state::AttemptEnd::Replaced;
+        return result;
+    }
+    auto answer = std::make_shared<protocol::ForwardedAnswer>();
+    answer->status = static_cast<int>(status);
+    answer->headers = endToEndFields(response);
+    answer->signature = std::string(response[names.signature]);
+    answer->body = std::move(response.body());
+    result.answer = answer;
+    if (response.count(names.notExecuted) > 0) {
+        result.end = endOfRefusal(status);
+    } else if (response.result() == http::status::ok || status / 100 == 2) {
+        const bool encoded = response.count(http::field::content_encoding) > 0;
+        if (!answer->signature.empty() && !encoded)
+            result.end = state::AttemptEnd::Answered;
+    } else if (status >= 500) {
+        result.end = state::AttemptEnd::Failed;
+    } else {
+        result.end = state::AttemptEnd::Answered;
+    }
+    return result;
+}
+
+} // namespace persimmon::forward
--- /dev/null
+++ b/forward/forward_request.cpp
@@ -0,0 +1,112 @@
+#include "forward/forward_request.h"
+
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+
+#include <array>
+#include <charconv>
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace persimmon::forward {
+
+namespace {
+
+constexpr std::array<std::string_view, 10> HopByHopNames{
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "proxy-authenticate",
+        "te",
+        "proxy-authorization",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "expect",
+};
+
+bool isEqual(std::string_view left, std::string_view right)
+{
+    return beast::iequals({left.data(), left.size()}, {right.data(), right.size()});
+}
+
+std::optional<std::chrono::milliseconds> readMilliseconds(std::string_view text)
+{
+    std::int64_t count = 0;
+    const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), count);
+    if (failure != std::errc() || end != text.data() + text.size() || count < 0)
+        return std::nullopt;
+    return std::chrono::milliseconds(count);
+}
+
+std::string_view view(beast::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+} // namespace
+
+bool isHopByHop(std::string_view name, std::string_view connection)
+{
+    for (const auto hop : HopByHopNames) {
+        if (isEqual(name, hop))
+            return true;
+    }
+    if (connection.empty())
+        return false;
+    http::token_list tokens(beast::string_view(connection.data(), connection.size()));
+    return tokens.exists(beast::string_view(name.data(), name.size()));
+}
+
+std::string ForwardRequest::serialize(const HeaderNames &names, const std::string &instance,
+                                      std::chrono::milliseconds timeLeft) const
+{
+    std::string text;
+    text.reserve(head.size() + body.size() + 160);
+    text.append(head);
+    text.append(names.timeLeft).append(": ").append(std::to_string(timeLeft.count()));
+    text.append("\r\n").append(names.expectedInstance).append(": ").append(instance);
+    if (!body.empty() || method == "POST" || method == "PUT" || method == "PATCH")
+        text.append("\r\nContent-Length: ").append(std::to_string(body.size()));
+    text.append("\r\n\r\n").append(body);
+    return text;
+}
+
+ForwardRequest makeForwardRequest(const HttpMessage &message, const HeaderNames &names,
+                                  transport::TimePoint receivedAt)
+{
+    ForwardRequest request;
+    request.method = std::string(message.method_string());
+    request.target = std::string(message.target());
+    request.host = std::string(message[http::field::host]);
+    request.id = std::string(message[names.requestId]);
+    request.body = message.body();
+    request.receivedAt = receivedAt;
+    request.callerTime = readMilliseconds(view(message[names.timeLeft]));
+    request.head = request.method + " " + request.target + " HTTP/1.1\r\n";
+    const auto connection = view(message[http::field::connection]);
+    for (const auto &field : message) {
+        const auto name = view(field.name_string());
+        if (isHopByHop(name, connection) || isEqual(name, "content-length")
+            || isEqual(name, names.timeLeft) || isEqual(name, names.expectedInstance))
+            continue;
+        request.head.append(name).append(": ").append(view(field.value())).append("\r\n");
+    }
+    return request;
+}
+
+std::vector<protocol::HeaderField> endToEndFields(const http::fields &fields)
+{
+    std::vector<protocol::HeaderField> kept;
+    const auto connection = view(fields[http::field::connection]);
+    for (const auto &field : fields) {
+        const auto name = view(field.name_string());
+        if (isHopByHop(name, connection) || isEqual(name, "content-length"))
+            continue;
+        kept.push_back({std::string(name), std::string(view(field.value()))});
+    }
+    return kept;
+}
+
+} // namespace persimmon::forward
--- /dev/null
+++ b/forward/service_set.cpp
@@ -0,0 +1,56 @@
+#include "forward/service_set.h"
+
+namespace persimmon::forward {
+
+dispatch::ServiceExecutor &ServiceSet::executorOf(const std::string &service,
+                                                  const std::vector<std::string> &homeRegions)
+{
+    const Key key(service, homeRegions);
+    auto &executor = executors_[key];
+    if (!executor) {
+        executor = std::make_shared<dispatch::ServiceExecutor>(context_);
+        configure(key, *executor);
+    }
+    return *executor;
+}
+
+void ServiceSet::setServices(std::map<std::string, state::ServiceInfo> services)
+{
+    if (services == services_)
+        return;
+    services_ = std::move(services);
+    refreshAll();
+}
+
+void ServiceSet::setShare(const state::HostShare &share)
+{
+    if (share == share_)
+        return;
+    share_ = share;
+    refreshAll();
+}
+
+void ServiceSet::refresh(const std::set<std::string> &services)
+{
+    for (const auto &[key, executor] : executors_) {
+        if (services.contains(std::get<0>(key)))
+            configure(key, *executor);
+    }
+}
+
+void ServiceSet::refreshAll()
+{
+    for (const auto &[key, executor] : executors_)
+        configure(key, *executor);
+}
+
+void ServiceSet::configure(const Key &key, dispatch::ServiceExecutor &executor)
+{
+    const auto &[service, homeRegions] = key;
+    const auto info = services_.find(service);
+    executor.configure(registry_.settingsOf(
+            service, info == services_.end() ? state::ServiceInfo{} : info->second, homeRegions,
+            share_, limits_));
+}
+
+} // namespace persimmon::forward
--- /dev/null
+++ b/host/host.h
@@ -0,0 +1,4 @@
+#pragma once
+
+#include "host/host_daemon.h"
+#include "host/host_options.h"
--- /dev/null
+++ b/main/persimmon_host.cpp
@@ -0,0 +1,98 @@
+#include "host/host.h"
+#include "platform/platform.h"
+
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+
+namespace asio = boost::asio;
+using namespace persimmon;
+
+namespace {
+
+constexpr int StartFailure = 1;
+constexpr int UsageFailure = 2;
+
+std::string defaultSettingsPath()
+{
+    const char *path = std::getenv(platform::SettingsVariable);
+    return path == nullptr ? platform::DefaultSettingsPath : path;
+}
+
+void declareSettings(transport::Settings &settings)
+{
+    settings.addText("settings-file", "file of the platform with the settings of this host",
+                     defaultSettingsPath());
+    settings.addInteger("metrics-port", "port of GET /metrics; 0 serves none", 0, 0, 65535);
+    settings.addLogging();
+}
+
+/// Metrics are served on the address of the front, on a port of their own.
+std::string metricsAddress(const std::string &front, std::int64_t port)
+{
+    return port == 0 ? "" : front.substr(0, front.rfind(':') + 1) + std::to_string(port);
+}
+
+/// Calls the daemon when the settings file may have changed.
+asio::awaitable<void> reloadOnHangup(transport::Runtime &runtime, host::HostDaemon &daemon,
+                                     std::string path)
+{
+    asio::signal_set signals(runtime.context(), SIGHUP);
+    while (true) {
+        co_await signals.async_wait(asio::use_awaitable);
+        const auto loaded = platform::loadSettings(path);
+        if (isOk(loaded))
+            daemon.reload(valueOf(loaded).host);
+        else
+            transport::logError("host", "settings kept; the file is invalid",
+                                {{"reason", errorOf(loaded).message}});
+    }
+}
+
+int run(const transport::Settings &settings)
+{
+    const auto path = settings.text("settings-file");
+    auto loaded = platform::loadSettings(path);
+    if (!isOk(loaded)) {
+        std::cerr << "persimmon-host: " << path << ": " << errorOf(loaded).message << "\n";
+        return UsageFailure;
+    }
+    auto file = takeValue(loaded);
+    file.host.metrics = metricsAddress(file.host.front, settings.integer("metrics-port"));
+    transport::Runtime runtime(1);
+    transport::LogWriter logs(runtime);
+    logs.install();
+    transport::Metrics storeMetrics;
+    platform::StoreClient store(runtime, storeMetrics, file.store);
+    host::HostHooks hooks;
+    hooks.store = store.hooks();
+    hooks.interpret = platform::interpretRecord;
+    hooks.headers = platform::headerNames();
+    hooks.readLocate = platform::readLocate;
+    hooks.formatLocate = platform::formatLocate;
+    host::HostDaemon daemon(runtime, file.host, hooks);
+    const auto started = daemon.start();
+    if (!isOk(started)) {
+        transport::logError("host", "start failed", {{"reason", errorOf(started).message}});
+        logs.flush();
+        return StartFailure;
+    }
+    runtime.onTermination([&] { runtime.spawn(daemon.shutDown()); });
+    runtime.spawn(reloadOnHangup(runtime, daemon, path));
+    runtime.run();
+    logs.flush();
+    return 0;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    transport::Settings settings("persimmon-host",
+                                 "Serves callers on one entry host of the platform.");
+    declareSettings(settings);
+    if (const auto status = settings.parse(argc, argv))
+        return *status;
+    settings.initLogging();
+    return run(settings);
+}
--- a/misc/install_deps.sh
+++ b/misc/install_deps.sh
@@ -6,7 +6,7 @@
   g++ cmake ninja-build ccache clang-format clang-tidy git curl jq
   libboost1.81-dev libboost-log1.81-dev libboost-json1.81-dev libboost-url1.81-dev
   libjsonrpccpp-dev libjsoncpp-dev libcxxopts-dev libxxhash-dev libmsgpuck-dev
-  doctest-dev librapidcheck-dev
+  doctest-dev librapidcheck-dev libyaml-cpp-dev
 )
 
 missing=()
--- a/protocol/frame_messages.h
+++ b/protocol/frame_messages.h
@@ -93,9 +93,11 @@
     ConnectionLost,
     StaleView,
     Malformed,
+    /// An upstream executed the request and reported a failure of its own.
+    UpstreamFailed,
 };
 
-inline constexpr std::array<EnumName<SubError>, 11> SubErrorNames{{
+inline constexpr std::array<EnumName<SubError>, 12> SubErrorNames{{
         {SubError::None, "none"},
         {SubError::Overloaded, "overloaded"},
         {SubError::SnapshotMissing, "snapshot_missing"},
@@ -107,6 +109,7 @@
         {SubError::ConnectionLost, "connection_lost"},
         {SubError::StaleView, "stale_view"},
         {SubError::Malformed, "malformed"},
+        {SubError::UpstreamFailed, "upstream_failed"},
 }};
 
 /// Result of one sub-request.
--- a/protocol/protocol.h
+++ b/protocol/protocol.h
@@ -4,6 +4,7 @@
 #include "protocol/caller_messages.h"
 #include "protocol/config_documents.h"
 #include "protocol/default_ports.h"
+#include "protocol/forward_messages.h"
 #include "protocol/frame_codec.h"
 #include "protocol/frame_messages.h"
 #include "protocol/json_writer.h"
--- /dev/null
+++ b/state/cold_rate.cpp
@@ -0,0 +1,51 @@
+#include "state/cold_rate.h"
+
+#include <algorithm>
+
+namespace persimmon::state {
+
+void ColdRate::configure(TimePoint until, std::optional<std::uint32_t> perWindow)
+{
+    until_ = std::max(until_, until);
+    perWindow_ = perWindow;
+}
+
+void ColdRate::confirmWarmUp(TimePoint until)
+{
+    suspectedUntil_ = {};
+    until_ = std::max(until_, until);
+}
+
+bool ColdRate::mayStart(TimePoint now) const
+{
+    return !nextStart(now);
+}
+
+void ColdRate::onStarted(TimePoint now)
+{
+    if (!perWindow_)
+        return;
+    starts_.push_back(now);
+    while (starts_.size() > *perWindow_)
+        starts_.pop_front();
+}
+
+std::optional<TimePoint> ColdRate::nextStart(TimePoint now) const
+{
+    if (!isCold(now) || starts_.size() < *perWindow_)
+        return std::nullopt;
+    if (*perWindow_ == 0)
+        return std::max(until_, suspectedUntil_);
+    // The oldest of the last perWindow_ starts must have left the window.
+    const auto next = starts_[starts_.size() - *perWindow_] + Window;
+    return next > now ? std::optional(next) : std::nullopt;
+}
+
+std::uint32_t partOfLimit(std::uint32_t total, std::uint32_t hosts, std::uint32_t position)
+{
+    if (hosts <= 1)
+        return total;
+    return total / hosts + (position < total % hosts ? 1 : 0);
+}
+
+} // namespace persimmon::state
--- /dev/null
+++ b/state/entry_membership.cpp
@@ -0,0 +1,120 @@
+#include "state/entry_membership.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace persimmon::state {
+
+EntryMembership::EntryMembership(EntryRow self) : self_(std::move(self)) {}
+
+void EntryMembership::setPhase(EntryPhase phase)
+{
+    self_.phase = phase;
+    beat();
+}
+
+bool EntryMembership::merge(const std::vector<EntryRow> &rows, TimePoint now)
+{
+    bool changed = false;
+    for (const auto &row : rows)
+        changed = mergeOne(row, now) || changed;
+    return changed;
+}
+
+bool EntryMembership::mergeOne(const EntryRow &row, TimePoint now)
+{
+    if (row.control == self_.control) {
+        // An earlier start of this host is still being passed on; it must not win.
+        if (row.incarnation > self_.incarnation)
+            self_.incarnation = row.incarnation + 1;
+        return false;
+    }
+    const auto [found, isNew] = peers_.try_emplace(row.control, Peer{row, now});
+    if (isNew)
+        return true;
+    auto &peer = found->second;
+    const auto known = std::pair(peer.row.incarnation, peer.row.heartbeat);
+    if (std::pair(row.incarnation, row.heartbeat) <= known)
+        return false;
+    const bool changed = !peer.live || peer.row.phase != row.phase
+                         || peer.row.incarnation != row.incarnation || peer.row.front != row.front;
+    peer = {row, now};
+    return changed;
+}
+
+bool EntryMembership::expire(TimePoint now)
+{
+    bool died = false;
+    for (auto &[control, peer] : peers_) {
+        if (peer.live && now - peer.heardAt > DeadTime) {
+            peer.live = false;
+            died = true;
+        }
+    }
+    std::erase_if(peers_, [now](const auto &row) { return now - row.second.heardAt > ForgetTime; });
+    return died;
+}
+
+std::vector<EntryRow> EntryMembership::liveRows() const
+{
+    std::vector<EntryRow> rows{self_};
+    for (const auto &[control, peer] : peers_) {
+        if (peer.live)
+            rows.push_back(peer.row);
+    }
+    return rows;
+}
+
+std::vector<std::string> EntryMembership::livePeers() const
+{
+    std::vector<std::string> peers;
+    for (const auto &[control, peer] : peers_) {
+        if (peer.live)
+            peers.push_back(control);
+    }
+    return peers;
+}
+
+std::uint32_t EntryMembership::liveCount() const
+{
+    return 1 + static_cast<std::uint32_t>(livePeers().size());
+}
+
+std::uint32_t EntryMembership::position() const
+{
+    std::uint32_t position = 0;
+    for (const auto &[control, peer] : peers_)
+        position += peer.live && control < self_.control ? 1 : 0;
+    return position;
+}
+
+std::vector<EntryRow> chooseEntries(const std::vector<EntryRow> &entries,
+                                    const std::string &callerRegion,
+                                    const std::vector<std::string> &servingRegions,
+                                    std::size_t most)
+{
+    const auto serves = [&servingRegions](const std::string &region) {
+        return std::find(servingRegions.begin(), servingRegions.end(), region)
+               != servingRegions.end();
+    };
+    const auto isReady = [](const EntryRow &row) { return row.phase == EntryPhase::Ready; };
+    const std::vector<std::function<bool(const EntryRow &)>> preferences{
+            [&](const EntryRow &row) {
+                return isReady(row) && row.region == callerRegion && serves(callerRegion);
+            },
+            [&](const EntryRow &row) { return isReady(row) && serves(row.region); },
+            isReady,
+            [](const EntryRow &row) { return row.phase == EntryPhase::Starting; },
+    };
+    std::vector<EntryRow> chosen;
+    for (const auto &isPreferred : preferences) {
+        std::copy_if(entries.begin(), entries.end(), std::back_inserter(chosen), isPreferred);
+        if (!chosen.empty())
+            break;
+    }
+    if (chosen.size() > most)
+        chosen.resize(most);
+    return chosen;
+}
+
+} // namespace persimmon::state
--- a/state/extra_load_budget.cpp
+++ b/state/extra_load_budget.cpp
@@ -4,6 +4,12 @@
 
 namespace persimmon::state {
 
+void ExtraLoadBudget::setCapacity(double capacity)
+{
+    tokens_ = std::min(capacity, tokens_ + std::max(0.0, capacity - capacity_));
+    capacity_ = capacity;
+}
+
 void ExtraLoadBudget::addPrimary(double extraLoad)
 {
     tokens_ = std::min(capacity_, tokens_ + extraLoad);
--- a/state/extra_load_budget.h
+++ b/state/extra_load_budget.h
@@ -17,6 +17,9 @@
     {
     }
 
+    /// Takes a changed capacity. Growth is filled at once, since it is a burst that nobody used.
+    void setCapacity(double capacity);
+
     /// Adds the tokens of one primary execution.
     void addPrimary(double extraLoad);
 
--- /dev/null
+++ b/state/record_mirror.cpp
@@ -0,0 +1,77 @@
+#include "state/record_mirror.h"
+
+#include <algorithm>
+#include <set>
+
+namespace persimmon::state {
+
+std::vector<StoreRecord> RecordMirror::apply(const std::vector<StoreRecord> &changes,
+                                             std::uint64_t asOf)
+{
+    std::vector<StoreRecord> news;
+    for (const auto &change : changes) {
+        if (take(change))
+            news.push_back(change);
+    }
+    revision_ = std::max(revision_, asOf);
+    forgetOldDeletions();
+    return news;
+}
+
+std::vector<StoreRecord> RecordMirror::applySnapshot(const std::vector<StoreRecord> &items,
+                                                     std::uint64_t asOf)
+{
+    std::set<std::string> seen;
+    for (const auto &item : items)
+        seen.insert(item.key);
+    std::vector<StoreRecord> changes = items;
+    for (const auto &[key, record] : records_) {
+        if (record.value && record.revision <= asOf && !seen.contains(key))
+            changes.push_back({key, asOf, std::nullopt});
+    }
+    return apply(changes, asOf);
+}
+
+std::vector<StoreRecord> RecordMirror::changesSince(std::uint64_t revision) const
+{
+    std::vector<StoreRecord> changes;
+    for (const auto &[key, record] : records_) {
+        if (record.revision > revision)
+            changes.push_back(record);
+    }
+    return changes;
+}
+
+bool RecordMirror::take(const StoreRecord &record)
+{
+    auto &known = records_[record.key];
+    // A deletion that was inferred from a snapshot has the revision of the snapshot, which may
+    // equal that of a write that the pages missed.
+    if (record.revision < known.revision || (record.revision == known.revision && known.value))
+        return false;
+    if (known.revision == record.revision && known.value == record.value)
+        return false;
+    const bool wasDeleted = known.revision > 0 && !known.value;
+    deletedCount_ += (record.value ? 0 : 1) - (wasDeleted ? 1 : 0);
+    known = record;
+    return true;
+}
+
+void RecordMirror::forgetOldDeletions()
+{
+    if (deletedCount_ <= DeletedCapacity)
+        return;
+    std::vector<std::uint64_t> revisions;
+    for (const auto &[key, record] : records_) {
+        if (!record.value)
+            revisions.push_back(record.revision);
+    }
+    const auto middle = revisions.begin() + static_cast<std::ptrdiff_t>(revisions.size() / 2);
+    std::nth_element(revisions.begin(), middle, revisions.end());
+    const auto oldest = *middle;
+    deletedCount_ -= std::erase_if(records_, [oldest](const auto &row) {
+        return !row.second.value && row.second.revision < oldest;
+    });
+}
+
+} // namespace persimmon::state
--- a/state/replica_set.cpp
+++ b/state/replica_set.cpp
@@ -11,6 +11,12 @@
 /// How long an upstream that drains or loses connections is the last choice, even while the others
 /// are busy. Its in-flight count is low, so that it would otherwise attract all work.
 constexpr std::chrono::milliseconds AvoidTime{500};
+/// An upstream that fails again after each pause is avoided up to this long.
+constexpr std::chrono::milliseconds LongestAvoidTime{2000};
+/// An upstream whose oldest execution has taken this many of its usual latencies, with no answer
+/// since, has stalled: new work would wait behind it.
+constexpr int StallFactor = 3;
+constexpr std::chrono::milliseconds LeastStallTime{20};
 
 } // namespace
 
@@ -25,14 +31,16 @@
         replica.available = false;
     for (const auto &host : settings.available) {
         const UpstreamRamp fresh(settings.coldLimit, settings.share, settings.slots, settings.ramp);
-        auto &replica =
-                replicas_.try_emplace(host.name, Replica{host, fresh, true, 0, 0, {}, {}, {}})
-                        .first->second;
+        auto &replica = replicas_.try_emplace(host.name, host, fresh).first->second;
         if (replica.host.address != host.address)
             replica.ramp = fresh;
         replica.host = host;
         replica.available = true;
-        replica.ramp.configure(settings.coldLimit, settings.share, settings.slots);
+        const auto traits = settings.traits.find(host.name);
+        replica.traits = traits == settings.traits.end() ? UpstreamTraits{} : traits->second;
+        const auto share = replica.traits.limit > 0 ? replica.traits.limit : settings.share;
+        replica.ramp.configure(settings.coldLimit, share, settings.slots);
+        replica.cold.configure(replica.traits.coldUntil, replica.traits.coldRate);
     }
     std::erase_if(replicas_, [](const auto &row) {
         return !row.second.available && row.second.inFlight == 0;
@@ -62,11 +70,12 @@
         anyHolds = true;
         if (excluded.contains(name))
             continue;
-        const bool preferred = now >= replica.avoidUntil;
+        const bool preferred = replica.isPreferred(now);
         if (preferred && !anyPreferred)
             best = nullptr;
         anyPreferred = anyPreferred || preferred;
-        if (replica.inFlight >= replica.ramp.limit() || (anyPreferred && !preferred))
+        if (replica.inFlight >= replica.ramp.limit() || !replica.cold.mayStart(now)
+            || (anyPreferred && !preferred))
             continue;
         if (best == nullptr || isBetter(replica, *best))
             best = &replica;
@@ -84,6 +93,26 @@
     return found != missing.end() && now < found->second;
 }
 
+bool ReplicaSet::Replica::isStalled(TimePoint now) const
+{
+    if (starts.empty())
+        return false;
+    const Duration usual = recent.median().value_or(Duration(0)) * StallFactor;
+    return now - std::max(starts.front(), lastEnd) > std::max<Duration>(usual, LeastStallTime);
+}
+
+bool ReplicaSet::Replica::isPreferred(TimePoint now) const
+{
+    return now >= avoidUntil && !traits.lastChoice && !isStalled(now);
+}
+
+void ReplicaSet::Replica::avoid(TimePoint now)
+{
+    const auto time = AvoidTime * (1U << std::min(failuresInRow, 2U));
+    avoidUntil = now + std::min<std::chrono::milliseconds>(time, LongestAvoidTime);
+    ++failuresInRow;
+}
+
 Duration ReplicaSet::lowestLatency() const
 {
     auto lowest = Duration::max();
@@ -95,7 +124,8 @@
 double ReplicaSet::cost(const Replica &replica, Duration unknown)
 {
     const double load = static_cast<double>(replica.inFlight) / replica.ramp.limit();
-    return (1 + load) * static_cast<double>(replica.recent.median().value_or(unknown).count());
+    return (1 + load) * replica.traits.costFactor
+           * static_cast<double>(replica.recent.median().value_or(unknown).count());
 }
 
 std::optional<Duration> ReplicaSet::recentLatency(const std::string &name) const
@@ -111,6 +141,16 @@
     });
 }
 
+std::vector<std::string> ReplicaSet::names() const
+{
+    std::vector<std::string> names;
+    for (const auto &[name, replica] : replicas_) {
+        if (replica.available)
+            names.push_back(name);
+    }
+    return names;
+}
+
 std::size_t ReplicaSet::totalLimit() const
 {
     std::size_t total = 0;
@@ -119,13 +159,26 @@
     return total;
 }
 
-void ReplicaSet::onStarted(const std::string &name)
+std::optional<TimePoint> ReplicaSet::nextColdStart(TimePoint now) const
+{
+    std::optional<TimePoint> next;
+    for (const auto &[name, replica] : replicas_) {
+        const auto start = replica.available ? replica.cold.nextStart(now) : std::nullopt;
+        if (start && (!next || *start < *next))
+            next = start;
+    }
+    return next;
+}
+
+void ReplicaSet::onStarted(const std::string &name, TimePoint now)
 {
     for (auto &[other, replica] : replicas_)
         ++replica.passedOver;
     auto &started = replicas_.at(name);
     started.passedOver = 0;
     ++started.inFlight;
+    started.starts.push_back(now);
+    started.cold.onStarted(now);
 }
 
 void ReplicaSet::onEnded(const std::string &name, const AttemptResult &result,
@@ -136,11 +189,17 @@
         return;
     auto &replica = found->second;
     --replica.inFlight;
+    const auto start = std::find(replica.starts.begin(), replica.starts.end(), now - latency);
+    replica.starts.erase(start == replica.starts.end() ? replica.starts.begin() : start);
     replica.ramp.onIncarnation(result.incarnation);
     switch (result.end) {
     case AttemptEnd::Answered:
         replica.ramp.onSuccess(result.incarnation, latency);
         replica.recent.record(latency);
+        replica.lastEnd = now;
+        replica.failuresInRow = 0;
+        if (replica.cold.isSuspected(now))
+            replica.cold.confirmWarmUp(now + replica.traits.coldTime);
         break;
     case AttemptEnd::Shed:
         replica.ramp.onShed();
@@ -150,11 +209,15 @@
         replica.missing[snapshot] = now + MissingMemory;
         break;
     case AttemptEnd::Draining:
-        replica.avoidUntil = now + AvoidTime;
+    case AttemptEnd::Failed:
+        replica.avoid(now);
+        replica.lastEnd = now;
         break;
     case AttemptEnd::NotWritten:
-        replica.avoidUntil = now + AvoidTime;
+    case AttemptEnd::Replaced:
+        replica.avoid(now);
         replica.ramp.restart();
+        replica.cold.suspectRestart(now);
         break;
     case AttemptEnd::Cancelled:
     case AttemptEnd::TimedOut:
@@ -162,7 +225,7 @@
         replica.recent.recordUnfinished(latency);
         break;
     case AttemptEnd::Lost:
-        replica.avoidUntil = now + AvoidTime;
+        replica.avoid(now);
         replica.ramp.restart();
         break;
     default:
--- a/state/replica_set.h
+++ b/state/replica_set.h
@@ -1,17 +1,47 @@
 #pragma once
 
+#include "state/cold_rate.h"
+#include "state/extra_load_budget.h"
 #include "state/recent_latency.h"
 #include "state/scheduler_actions.h"
 #include "state/service_timing.h"
 #include "state/upstream_ramp.h"
 
+#include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
 namespace persimmon::state {
 
+/// What placement takes into account for one upstream beside its host record.
+struct UpstreamTraits
+{
+    /// Executions that this host may have in flight there; 0 takes the share of the service.
+    std::uint32_t limit = 0;
+    /// Factor on its latency in the ranking; above 1 where its use costs more.
+    double costFactor = 1;
+    /// Until when it is cold.
+    TimePoint coldUntil{};
+    /// Requests that this host may send it per ColdRate::Window while it is cold; nothing sets no
+    /// limit.
+    std::optional<std::uint32_t> coldRate = {};
+    /// How long it stays cold after a restart that no list has told of yet.
+    Duration coldTime{};
+    /// Whether it is chosen only if no other upstream is left.
+    bool lastChoice = false;
+};
+
+/// Extra executions that a service may get, beside the share that each primary adds.
+struct ExtraLoadLimit
+{
+    double burst = ExtraLoadBudget::Capacity;
+    /// Whether a retry after a refusal takes a token too, because the upstream counts arrivals.
+    bool chargeRefusals = false;
+};
+
 /// What the view says about one service.
 struct ServiceSettings
 {
@@ -26,6 +56,13 @@
     bool hedging = true;
     /// Quantile of the observed latencies after which a hedge is sent.
     double hedgeQuantile = DefaultHedgeQuantile;
+    /// By upstream name; an upstream without an entry has the defaults.
+    std::map<std::string, UpstreamTraits> traits = {};
+    std::optional<ExtraLoadLimit> extraLoad = {};
+    /// Whether lost connections count as crashes of upstreams; see CrashTracker.
+    bool crashTracking = true;
+    /// An upstream whose recent latency exceeds this many hedge delays gets no hedges.
+    double stragglerFactor = 1;
 };
 
 /// @param slots executions that one upstream runs at the same time.
@@ -71,13 +108,19 @@
     /// @return whether any available upstream is below its limit.
     bool hasCapacity() const;
 
+    /// @return when a cold upstream next accepts a request, if its rate holds it back now.
+    std::optional<TimePoint> nextColdStart(TimePoint now) const;
+
+    /// @return names of the available upstreams.
+    std::vector<std::string> names() const;
+
     /// @return executions that all available upstreams may run at the same time.
     std::size_t totalLimit() const;
 
     /// @return median of the recent latencies of an upstream, if there are any.
     std::optional<Duration> recentLatency(const std::string &name) const;
 
-    void onStarted(const std::string &name);
+    void onStarted(const std::string &name, TimePoint now = {});
 
     /// @param snapshot snapshot that the attempt asked for.
     /// @param latency time since the attempt was started.
@@ -89,6 +132,12 @@
 private:
     struct Replica
     {
+        Replica(protocol::HostRecord record, const UpstreamRamp &fresh)
+            : host(std::move(record)),
+              ramp(fresh)
+        {
+        }
+
         protocol::HostRecord host;
         UpstreamRamp ramp;
         bool available = true;
@@ -100,8 +149,17 @@
         TimePoint avoidUntil{};
         /// Until when each snapshot is known to be missing.
         std::map<std::uint64_t, TimePoint> missing;
+        UpstreamTraits traits;
+        ColdRate cold;
+        /// Starts of the attempts in flight, oldest first.
+        std::deque<TimePoint> starts;
+        TimePoint lastEnd{};
+        std::uint32_t failuresInRow = 0;
 
         bool lacks(std::uint64_t snapshot, TimePoint now) const;
+        bool isStalled(TimePoint now) const;
+        bool isPreferred(TimePoint now) const;
+        void avoid(TimePoint now);
         bool isProbeDue() const { return inFlight == 0 && passedOver >= ProbeInterval; }
     };
 
--- a/state/scheduler_actions.h
+++ b/state/scheduler_actions.h
@@ -4,6 +4,7 @@
 #include "state/latency_record.h"
 
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <variant>
 #include <vector>
@@ -23,6 +24,10 @@
     std::uint64_t fingerprint = 0;
     /// Whether the fingerprint has not been seen before; such work is never hedged.
     bool canary = false;
+    /// Kind of work whose execution times are recorded together, for example a route.
+    std::uint32_t workClass = 0;
+    /// Upstreams that may execute it; 0 sets no limit.
+    std::uint32_t upstreamLimit = 0;
 };
 
 /// How one attempt ended.
@@ -40,8 +45,27 @@
     Cancelled,
     /// The reply was unreadable or belonged to another request.
     Dropped,
+    /// The upstream executed the request and reported a failure of its own.
+    Failed,
+    /// Another instance has the address; nothing was executed.
+    Replaced,
 };
 
+inline constexpr std::array<EnumName<AttemptEnd>, 12> AttemptEndNames{{
+        {AttemptEnd::Answered, "answered"},
+        {AttemptEnd::SnapshotMissing, "snapshot_missing"},
+        {AttemptEnd::Shed, "shed"},
+        {AttemptEnd::Draining, "draining"},
+        {AttemptEnd::BadRequest, "bad_request"},
+        {AttemptEnd::NotWritten, "not_written"},
+        {AttemptEnd::Lost, "lost"},
+        {AttemptEnd::TimedOut, "timed_out"},
+        {AttemptEnd::Cancelled, "cancelled"},
+        {AttemptEnd::Dropped, "dropped"},
+        {AttemptEnd::Failed, "failed"},
+        {AttemptEnd::Replaced, "replaced"},
+}};
+
 /// What the I/O code reports when an attempt ends.
 struct AttemptResult
 {
@@ -52,6 +76,8 @@
     std::string items;
     /// Whether a byte may have been written, with TimedOut and Cancelled.
     bool written = true;
+    /// What a forwarded request was answered, with Answered and Failed.
+    std::shared_ptr<const protocol::ForwardedAnswer> answer = {};
 };
 
 /// Why an attempt is started.
@@ -98,6 +124,8 @@
     std::string items;
     std::uint32_t executions = 0;
     std::string upstream;
+    /// Answer to a forwarded request; with an outcome other than Done a failure of an upstream.
+    std::shared_ptr<const protocol::ForwardedAnswer> answer = {};
 };
 
 /// Report a fingerprint whose executions crashed upstreams, and refuse it from now on.
--- a/state/service_scheduler.cpp
+++ b/state/service_scheduler.cpp
@@ -16,7 +16,15 @@
 {
     SchedulerActions actions;
     hedging_ = settings.hedging;
-    timing_.setHedgeQuantile(settings.hedgeQuantile);
+    hedgeQuantile_ = settings.hedgeQuantile;
+    for (auto &[workClass, timing] : timings_)
+        timing.setHedgeQuantile(hedgeQuantile_);
+    stragglerFactor_ = settings.stragglerFactor;
+    crashTracking_ = settings.crashTracking;
+    if (settings.extraLoad) {
+        budget_.setCapacity(settings.extraLoad->burst);
+        chargeRefusals_ = settings.extraLoad->chargeRefusals;
+    }
     replicas_.configure(settings);
     refuseUnservable(actions, now);
     return finish(std::move(actions), now);
@@ -36,7 +44,8 @@
     refuseUnservable(actions, now, work.id);
     if (!sub.replied) {
         const auto refused = queue_.push(work.id, work.priority, [this, now](std::uint64_t id) {
-            return timing_.servable(replicas_.totalLimit(), subs_.at(id).work.deadline, now);
+            const auto &waiting = subs_.at(id);
+            return timingOf(waiting).servable(replicas_.totalLimit(), waiting.work.deadline, now);
         });
         if (refused)
             reply(actions, subs_.at(*refused), protocol::SubError::Overloaded);
@@ -68,11 +77,11 @@
     replicas_.onEnded(ended.upstream.name, result, sub.work.snapshot, latency, now);
     gate_.leave(sub.work.fingerprint);
     if (result.end == AttemptEnd::Answered) {
-        timing_.record(latency);
+        timingOf(sub).record(latency);
         crashes_.onAnswer(sub.work.fingerprint);
     }
     const bool crashed =
-            result.end == AttemptEnd::Lost && !ended.cancelled
+            crashTracking_ && result.end == AttemptEnd::Lost && !ended.cancelled
             && crashes_.onLoss(sub.work.fingerprint, ended.upstream.name, ended.startedAt, now);
     if (!sub.replied)
         applyEnd(actions, sub, ended, result, now);
@@ -106,6 +115,7 @@
         break;
     case AttemptEnd::Draining:
     case AttemptEnd::NotWritten:
+    case AttemptEnd::Replaced:
         sub.lastError = protocol::SubError::NoUpstream;
         break;
     case AttemptEnd::TimedOut:
@@ -118,9 +128,27 @@
         sub.lastError = protocol::SubError::ConnectionLost;
         executed = true;
         break;
+    case AttemptEnd::Failed:
+        sub.lastError = protocol::SubError::UpstreamFailed;
+        sub.failure = std::move(result.answer);
+        executed = true;
+        break;
     }
     sub.mayHaveExecuted = sub.mayHaveExecuted || executed;
-    retryOrReply(actions, sub, executed, now);
+    retryOrReply(actions, sub, executed, isChargedRefusal(result.end), now);
+}
+
+ServiceTiming &ServiceScheduler::timingOf(const Sub &sub)
+{
+    const auto [row, isNew] = timings_.try_emplace(sub.work.workClass);
+    if (isNew)
+        row->second.setHedgeQuantile(hedgeQuantile_);
+    return row->second;
+}
+
+bool ServiceScheduler::isChargedRefusal(AttemptEnd end) const
+{
+    return chargeRefusals_ && (end == AttemptEnd::Shed || end == AttemptEnd::Replaced);
 }
 
 void ServiceScheduler::onAnswered(SchedulerActions &actions, Sub &sub, const Attempt &attempt,
@@ -130,6 +158,7 @@
     SubReply message;
     message.outcome = protocol::SubOutcome::Done;
     message.items = std::move(result.items);
+    message.answer = std::move(result.answer);
     message.upstream = attempt.upstream.name;
     if (sub.work.canary)
         gate_.markProven(sub.work.fingerprint);
@@ -137,7 +166,7 @@
 }
 
 void ServiceScheduler::retryOrReply(SchedulerActions &actions, Sub &sub, bool executed,
-                                    TimePoint now)
+                                    bool charged, TimePoint now)
 {
     if (!sub.attempts.empty())
         return;
@@ -148,9 +177,10 @@
     // the entry sends it again.
     const bool lost = executed && sub.work.canary && crashes_.isSuspect(sub.work.fingerprint);
     bool retry = now < sub.work.deadline && !quarantined && !lost;
-    if (retry)
-        retry = executed ? sub.work.repeatable && budget_.tryTake()
-                         : ++sub.refusals <= RefusalLimit;
+    if (retry && executed)
+        retry = sub.work.repeatable && budget_.tryTake();
+    else if (retry)
+        retry = ++sub.refusals <= RefusalLimit && (!charged || budget_.tryTake());
     if (!retry) {
         reply(actions, sub, sub.lastError);
         return;
@@ -192,7 +222,7 @@
         tryHedge(actions, sub, now);
     else if (sub.attempts.size() > 1)
         endSilent(actions, sub, now);
-    setDue(sub, std::min(end, now + timing_.hedgeDelay()));
+    setDue(sub, std::min(end, now + timingOf(sub).hedgeDelay()));
 }
 
 void ServiceScheduler::tryHedge(SchedulerActions &actions, Sub &sub, TimePoint now)
@@ -202,12 +232,15 @@
     if (!hedging_ || sub.work.canary || crashes_.isSuspect(sub.work.fingerprint)
         || queue_.size() > 0)
         return;
+    if (sub.work.upstreamLimit > 0 && sub.used.size() >= sub.work.upstreamLimit)
+        return;
     const auto choice =
             replicas_.choose(sub.work.snapshot, {sub.attempts.front().upstream.name}, now);
     if (choice.availability != ReplicaSet::Availability::Found)
         return;
     // A straggler would answer too late, and the token is worth more for work that runs on one.
-    if (replicas_.recentLatency(choice.upstream.name).value_or(Duration(0)) > timing_.hedgeDelay())
+    const auto recent = replicas_.recentLatency(choice.upstream.name).value_or(Duration(0));
+    if (recent > timingOf(sub).hedgeDelay() * stragglerFactor_)
         return;
     if (!budget_.tryTake())
         return;
@@ -218,7 +251,7 @@
 void ServiceScheduler::endSilent(SchedulerActions &actions, Sub &sub, TimePoint now)
 {
     auto &oldest = sub.attempts.front();
-    if (oldest.cancelled || now - oldest.startedAt < timing_.hedgeDelay() * SilenceFactor)
+    if (oldest.cancelled || now - oldest.startedAt < timingOf(sub).hedgeDelay() * SilenceFactor)
         return;
     oldest.cancelled = true;
     actions.emplace_back(CancelAttempt{sub.work.id, oldest.number, oldest.upstream});
@@ -257,26 +290,77 @@
 SchedulerActions ServiceScheduler::finish(SchedulerActions actions, TimePoint now)
 {
     grant(actions, now);
-    if (!dues_.empty() && (!timerAt_ || dues_.begin()->at < *timerAt_)) {
-        timerAt_ = dues_.begin()->at;
+    const auto next = nextEvent(now);
+    if (next && (!timerAt_ || *next < *timerAt_)) {
+        timerAt_ = next;
         actions.emplace_back(ScheduleTimer{*timerAt_});
     }
     return actions;
 }
 
+std::optional<TimePoint> ServiceScheduler::nextEvent(TimePoint now) const
+{
+    std::optional<TimePoint> next;
+    if (!dues_.empty())
+        next = dues_.begin()->at;
+    if (queue_.size() == 0)
+        return next;
+    // Nothing else wakes work that waits for a cold upstream.
+    const auto cold = replicas_.nextColdStart(now);
+    return cold && (!next || *cold < *next) ? cold : next;
+}
+
+ReplicaSet::Choice ServiceScheduler::choose(const Sub &sub, TimePoint now, bool mayProbe) const
+{
+    const auto limit = sub.work.upstreamLimit;
+    if (sub.used.empty())
+        return replicas_.choose(sub.work.snapshot, {}, now, mayProbe);
+    if (limit == 0 || sub.used.size() < limit) {
+        // A retry goes to another upstream, unless there is none.
+        const auto other = replicas_.choose(sub.work.snapshot, sub.used, now);
+        if (other.availability == ReplicaSet::Availability::Found || limit == 0)
+            return other.availability == ReplicaSet::Availability::Found
+                           ? other
+                           : replicas_.choose(sub.work.snapshot, {}, now);
+    }
+    std::set<std::string> excluded;
+    if (limit > 0 && sub.used.size() >= limit) {
+        for (const auto &name : replicas_.names()) {
+            if (!sub.used.contains(name))
+                excluded.insert(name);
+        }
+    }
+    return replicas_.choose(sub.work.snapshot, excluded, now);
+}
+
+std::optional<Duration> ServiceScheduler::expectedWait(std::uint32_t workClass) const
+{
+    const auto slots = replicas_.totalLimit();
+    if (slots == 0)
+        return std::nullopt;
+    const auto time = typicalTime(workClass).value_or(Duration(0));
+    return time * static_cast<std::int64_t>(queue_.size()) / static_cast<std::int64_t>(slots);
+}
+
+std::optional<Duration> ServiceScheduler::typicalTime(std::uint32_t workClass) const
+{
+    const auto found = timings_.find(workClass);
+    return found == timings_.end() ? std::nullopt : found->second.typicalTime();
+}
+
 void ServiceScheduler::grant(SchedulerActions &actions, TimePoint now)
 {
     std::vector<std::uint64_t> tooLate;
     const auto isReady = [this, now, &tooLate](std::uint64_t id) {
-        const auto &work = subs_.at(id).work;
-        if (timing_.isTooLate(subs_.at(id).arrivedAt, work.deadline, now)) {
+        const auto &sub = subs_.at(id);
+        const auto &work = sub.work;
+        if (timingOf(sub).isTooLate(sub.arrivedAt, work.deadline, now)) {
             tooLate.push_back(id);
             return false;
         }
         if (!gate_.isOpenFor(work.fingerprint, work.canary, crashes_))
             return false;
-        return replicas_.choose(work.snapshot, {}, now).availability
-               == ReplicaSet::Availability::Found;
+        return choose(sub, now).availability == ReplicaSet::Availability::Found;
     };
     while (queue_.size() > 0 && replicas_.hasCapacity()) {
         const auto id = queue_.pop(isReady);
@@ -289,10 +373,11 @@
         auto &sub = subs_.at(*id);
         sub.waiting = false;
         const bool mayProbe = hedging_ && sub.work.repeatable && !sub.work.canary;
-        const auto choice = replicas_.choose(sub.work.snapshot, {}, now, mayProbe);
+        const auto choice = choose(sub, now, mayProbe);
         start(actions, sub, choice.upstream, sub.nextKind, now);
-        setDue(sub, sub.work.repeatable ? std::min(sub.work.deadline, now + timing_.hedgeDelay())
-                                        : sub.work.deadline + LateAnswerTime);
+        setDue(sub, sub.work.repeatable
+                            ? std::min(sub.work.deadline, now + timingOf(sub).hedgeDelay())
+                            : sub.work.deadline + LateAnswerTime);
     }
 }
 
@@ -301,7 +386,8 @@
 {
     if (sub.executions++ == 0)
         budget_.addPrimary(sub.work.extraLoad);
-    replicas_.onStarted(upstream.name);
+    replicas_.onStarted(upstream.name, now);
+    sub.used.insert(upstream.name);
     gate_.enter(sub.work.fingerprint);
     sub.attempts.push_back({sub.executions, upstream, now});
     const auto extra = sub.work.repeatable ? Duration(0) : Duration(LateAnswerTime);
@@ -362,6 +448,7 @@
     const bool unknown = sub.mayHaveExecuted || !sub.attempts.empty();
     message.outcome = unknown ? protocol::SubOutcome::Unknown : protocol::SubOutcome::NotRun;
     message.error = error;
+    message.answer = sub.failure;
     if (unknown && error == protocol::SubError::DeadlineOver)
         message.error = protocol::SubError::DeadlineExceeded;
     send(actions, sub, std::move(message));
--- a/state/service_scheduler.h
+++ b/state/service_scheduler.h
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <vector>
@@ -47,6 +48,14 @@
     SchedulerActions onQuarantine(std::uint64_t fingerprint, TimePoint now);
 
     std::size_t waiting() const { return queue_.size(); }
+
+    /// @return how long new work of @p workClass would wait for an upstream, or nothing if no
+    ///         upstream is available.
+    std::optional<Duration> expectedWait(std::uint32_t workClass) const;
+
+    /// @return median execution time of @p workClass, or nothing before enough answers.
+    std::optional<Duration> typicalTime(std::uint32_t workClass) const;
+
     const ReplicaSet &replicas() const { return replicas_; }
     const ExtraLoadBudget &budget() const { return budget_; }
 
@@ -71,6 +80,10 @@
         std::uint32_t executions = 0;
         std::uint32_t refusals = 0;
         protocol::SubError lastError = protocol::SubError::None;
+        /// Failure of an upstream that is passed on if nothing better comes.
+        std::shared_ptr<const protocol::ForwardedAnswer> failure;
+        /// Upstreams that got an attempt.
+        std::set<std::string> used;
         std::vector<Attempt> attempts;
         TimePoint due;
     };
@@ -87,6 +100,10 @@
 
     SchedulerActions finish(SchedulerActions actions, TimePoint now);
     void grant(SchedulerActions &actions, TimePoint now);
+    ReplicaSet::Choice choose(const Sub &sub, TimePoint now, bool mayProbe = false) const;
+    ServiceTiming &timingOf(const Sub &sub);
+    bool isChargedRefusal(AttemptEnd end) const;
+    std::optional<TimePoint> nextEvent(TimePoint now) const;
     void refuseUnservable(SchedulerActions &actions, TimePoint now,
                           std::optional<std::uint64_t> only = {});
     void refuseWaiting(SchedulerActions &actions,
@@ -100,7 +117,8 @@
                     AttemptResult &result);
     void applyEnd(SchedulerActions &actions, Sub &sub, const Attempt &ended, AttemptResult &result,
                   TimePoint now);
-    void retryOrReply(SchedulerActions &actions, Sub &sub, bool executed, TimePoint now);
+    void retryOrReply(SchedulerActions &actions, Sub &sub, bool executed, bool charged,
+                      TimePoint now);
     void endSilent(SchedulerActions &actions, Sub &sub, TimePoint now);
     void refuseQuarantined(SchedulerActions &actions, std::uint64_t fingerprint);
     void cancelAttempts(SchedulerActions &actions, Sub &sub);
@@ -114,8 +132,12 @@
     ExtraLoadBudget budget_;
     CrashTracker crashes_;
     UnprovenGate gate_;
-    ServiceTiming timing_;
+    std::map<std::uint32_t, ServiceTiming> timings_;
+    double hedgeQuantile_ = DefaultHedgeQuantile;
+    double stragglerFactor_ = 1;
     bool hedging_ = true;
+    bool chargeRefusals_ = false;
+    bool crashTracking_ = true;
     std::map<std::uint64_t, Sub> subs_;
     std::set<Due> dues_;
     std::optional<TimePoint> timerAt_;
--- a/state/service_timing.h
+++ b/state/service_timing.h
@@ -16,6 +16,9 @@
 
     void record(Duration latency) { latency_.record(latency); }
 
+    /// @return median execution time, or nothing before enough answers.
+    std::optional<Duration> typicalTime() const { return latency_.median(); }
+
     /// @return time after the start of an attempt after which it is hedged.
     Duration hedgeDelay() const;
 
--- /dev/null
+++ b/state/upstream_registry.cpp
@@ -0,0 +1,180 @@
+#include "state/upstream_registry.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace persimmon::state {
+
+namespace {
+
+/// Part of a shared limit that is divided among the hosts; the rest covers hosts that have not yet
+/// heard of each other.
+constexpr double DividedPart = 0.8;
+/// Requests in flight beside those that an upstream executes, so that a slot that becomes free has
+/// the next request at once.
+constexpr std::uint32_t PipelinedRequests = 1;
+/// Factor on the latency of an upstream in another region, whose answers cost transfer.
+constexpr double OtherRegionCost = 1.6;
+constexpr double HedgeQuantile = 0.9;
+/// An upstream in another region answers later than the hedge delay of a near one, and is still
+/// worth a hedge.
+constexpr double StragglerFactor = 4;
+/// Time by which the end of a warm-up may be reported too early.
+constexpr std::chrono::milliseconds WarmUpMargin{300};
+
+} // namespace
+
+std::set<std::string> UpstreamRegistry::update(const UpstreamRecord &record, TimePoint now)
+{
+    auto &upstream = upstreams_[record.id];
+    std::set<std::string> changed{record.service};
+    if (!upstream.record.service.empty() && upstream.record.service != record.service) {
+        changed.insert(upstream.record.service);
+        idsOfService_[upstream.record.service].erase(record.id);
+    }
+    upstream.record = record;
+    upstream.lapsesAt.reset();
+    if (record.coldLeft.count() > 0)
+        upstream.coldUntil = now + record.coldLeft + WarmUpMargin;
+    idsOfService_[record.service].insert(record.id);
+    return changed;
+}
+
+std::set<std::string> UpstreamRegistry::remove(const std::string &id, TimePoint now)
+{
+    const auto found = upstreams_.find(id);
+    if (found == upstreams_.end() || found->second.lapsesAt)
+        return {};
+    const auto service = found->second.record.service;
+    if (found->second.record.draining) {
+        idsOfService_[service].erase(id);
+        upstreams_.erase(found);
+    } else {
+        found->second.lapsesAt = now + LapseTime;
+    }
+    return {service};
+}
+
+std::set<std::string> UpstreamRegistry::setEvacuated(const std::string &domain, bool evacuated)
+{
+    const bool changed =
+            evacuated ? evacuated_.insert(domain).second : evacuated_.erase(domain) > 0;
+    std::set<std::string> services;
+    if (!changed)
+        return services;
+    for (const auto &[id, upstream] : upstreams_) {
+        if (upstream.record.failureDomain == domain)
+            services.insert(upstream.record.service);
+    }
+    return services;
+}
+
+std::set<std::string> UpstreamRegistry::expire(TimePoint now)
+{
+    std::set<std::string> services;
+    std::erase_if(upstreams_, [&](const auto &row) {
+        const auto &upstream = row.second;
+        if (!upstream.lapsesAt || now < *upstream.lapsesAt)
+            return false;
+        services.insert(upstream.record.service);
+        idsOfService_[upstream.record.service].erase(row.first);
+        return true;
+    });
+    return services;
+}
+
+std::optional<TimePoint> UpstreamRegistry::nextExpiry() const
+{
+    std::optional<TimePoint> next;
+    for (const auto &[id, upstream] : upstreams_) {
+        if (upstream.lapsesAt && (!next || *upstream.lapsesAt < *next))
+            next = upstream.lapsesAt;
+    }
+    return next;
+}
+
+bool UpstreamRegistry::isUsable(const Upstream &upstream) const
+{
+    return !upstream.record.draining && !evacuated_.contains(upstream.record.failureDomain);
+}
+
+const std::string &UpstreamRegistry::regionOf(const UpstreamRecord &record) const
+{
+    static const std::string Unknown;
+    const auto found = regionOfDomain_.find(record.failureDomain);
+    return found == regionOfDomain_.end() ? Unknown : found->second;
+}
+
+UpstreamTraits UpstreamRegistry::traitsOf(const Upstream &upstream, const ServiceInfo &info,
+                                          const HostShare &share, const SharedLimits &limits) const
+{
+    UpstreamTraits traits;
+    const auto connections = info.maxConnections / (share.hosts + 1);
+    traits.limit = std::max<std::uint32_t>(1, upstream.record.slots + PipelinedRequests);
+    if (info.maxConnections > 0)
+        traits.limit = std::min(traits.limit, std::max<std::uint32_t>(1, connections));
+    traits.costFactor = regionOf(upstream.record) == share.region ? 1 : OtherRegionCost;
+    traits.coldUntil = upstream.coldUntil;
+    traits.coldTime = info.coldTime;
+    traits.lastChoice = upstream.lapsesAt.has_value();
+    if (info.coldRate > 0) {
+        const auto total = (info.coldRate * limits.coldExcess + limits.coldSlack) * DividedPart;
+        // The rest goes to other hosts for each upstream, so that no host has all of it.
+        const auto turn = XXH64(upstream.record.id.data(), upstream.record.id.size(), 0);
+        const auto position = static_cast<std::uint32_t>((share.position + turn) % share.hosts);
+        traits.coldRate =
+                partOfLimit(static_cast<std::uint32_t>(std::floor(total)), share.hosts, position);
+    }
+    return traits;
+}
+
+ServiceSettings UpstreamRegistry::settingsOf(const std::string &service, const ServiceInfo &info,
+                                             const std::vector<std::string> &homeRegions,
+                                             const HostShare &share,
+                                             const SharedLimits &limits) const
+{
+    ServiceSettings settings;
+    settings.ramp = false;
+    settings.hedgeQuantile = HedgeQuantile;
+    settings.stragglerFactor = StragglerFactor;
+    settings.crashTracking = false;
+    settings.extraLoad = {limits.retryBurst * DividedPart / share.hosts, true};
+    const auto ids = idsOfService_.find(service);
+    if (ids == idsOfService_.end())
+        return settings;
+    for (const auto &id : ids->second) {
+        const auto &upstream = upstreams_.at(id);
+        const auto &region = regionOf(upstream.record);
+        const bool home =
+                homeRegions.empty()
+                || std::find(homeRegions.begin(), homeRegions.end(), region) != homeRegions.end();
+        if (!home || !isUsable(upstream))
+            continue;
+        const auto traits = traitsOf(upstream, info, share, limits);
+        settings.available.push_back({id, protocol::HostKind::Upstream, upstream.record.address,
+                                      upstream.record.failureDomain, service,
+                                      protocol::HostState::Live});
+        settings.traits.emplace(id, traits);
+        settings.share = std::max(settings.share, traits.limit);
+    }
+    settings.slots = settings.share;
+    return settings;
+}
+
+std::set<std::string> UpstreamRegistry::regionsOf(const std::string &service) const
+{
+    std::set<std::string> regions;
+    const auto ids = idsOfService_.find(service);
+    if (ids == idsOfService_.end())
+        return regions;
+    for (const auto &id : ids->second) {
+        const auto &upstream = upstreams_.at(id);
+        if (isUsable(upstream))
+            regions.insert(regionOf(upstream.record));
+    }
+    return regions;
+}
+
+} // namespace persimmon::state
--- a/transport/log.cpp
+++ b/transport/log.cpp
@@ -26,7 +26,7 @@
 }
 
 std::string formatText(LogLevel level, std::string_view part, std::string_view sentence,
-                       std::initializer_list<LogField> fields)
+                       std::span<const LogField> fields)
 {
     std::string line = timestamp();
     line.append(" ").append(enumName(LogLevelNames, level));
@@ -37,7 +37,7 @@
 }
 
 std::string formatJson(LogLevel level, std::string_view program, std::string_view part,
-                       std::string_view sentence, std::initializer_list<LogField> fields)
+                       std::string_view sentence, std::span<const LogField> fields)
 {
     boost::json::object line;
     line["time"] = timestamp();
@@ -55,6 +55,7 @@
     LogLevel level = LogLevel::Info;
     LogFormat format = LogFormat::Text;
     std::string program = "persimmon";
+    LogSink sink;
 };
 
 LogSettings &settings()
@@ -67,19 +68,30 @@
 
 void initLogging(LogLevel level, LogFormat format, const std::string &program)
 {
-    settings() = {level, format, program};
+    settings() = {level, format, program, {}};
     logging::add_console_log(std::clog,
                              logging::keywords::format = logging::expressions::stream
                                                          << logging::expressions::smessage,
                              logging::keywords::auto_flush = true);
 }
 
+void setLogSink(LogSink sink)
+{
+    settings().sink = std::move(sink);
+}
+
 void log(LogLevel level, std::string_view part, std::string_view sentence,
-         std::initializer_list<LogField> fields)
+         std::span<const LogField> fields)
 {
     const auto &current = settings();
     if (level < current.level)
         return;
+    if (current.sink) {
+        current.sink(current.format == LogFormat::Json
+                             ? formatJson(level, current.program, part, sentence, fields)
+                             : formatText(level, part, sentence, fields));
+        return;
+    }
     using Logger = logging::sources::severity_logger_mt<LogLevel>;
     static Logger logger;
     if (auto record = logger.open_record(logging::keywords::severity = level)) {
--- a/transport/log.h
+++ b/transport/log.h
@@ -2,7 +2,9 @@
 
 #include "transport/transport_error.h"
 
+#include <functional>
 #include <initializer_list>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -39,26 +41,32 @@
 /// @param program name of the program, written with each JSON line.
 void initLogging(LogLevel level, LogFormat format, const std::string &program);
 
+/// Takes each formatted line instead of standard error.
+using LogSink = std::function<void(std::string line)>;
+
+/// Sets where lines go; an empty sink is standard error. Not to be called while others log.
+void setLogSink(LogSink sink);
+
 /// Writes one line: prefix of the part, a short sentence, and fields.
 void log(LogLevel level, std::string_view part, std::string_view sentence,
-         std::initializer_list<LogField> fields = {});
+         std::span<const LogField> fields = {});
 
 inline void logInfo(std::string_view part, std::string_view sentence,
                     std::initializer_list<LogField> fields = {})
 {
-    log(LogLevel::Info, part, sentence, fields);
+    log(LogLevel::Info, part, sentence, std::span(fields.begin(), fields.size()));
 }
 
 inline void logWarning(std::string_view part, std::string_view sentence,
                        std::initializer_list<LogField> fields = {})
 {
-    log(LogLevel::Warning, part, sentence, fields);
+    log(LogLevel::Warning, part, sentence, std::span(fields.begin(), fields.size()));
 }
 
 inline void logError(std::string_view part, std::string_view sentence,
                      std::initializer_list<LogField> fields = {})
 {
-    log(LogLevel::Error, part, sentence, fields);
+    log(LogLevel::Error, part, sentence, std::span(fields.begin(), fields.size()));
 }
 
 } // namespace persimmon::transport
--- a/transport/runtime.cpp
+++ b/transport/runtime.cpp
@@ -47,9 +47,17 @@
     });
 }
 
+asio::any_io_executor Runtime::makeStrand()
+{
+    if (threadCount_ == 1)
+        return context_.get_executor();
+    return asio::make_strand(context_);
+}
+
 void Runtime::run()
 {
-    start();
+    startThreads(threadCount_ - 1);
+    context_.run();
     for (auto &thread : threads_)
         thread.join();
     threads_.clear();
@@ -57,7 +65,12 @@
 
 void Runtime::start()
 {
-    for (int i = 0; i < threadCount_; ++i)
+    startThreads(threadCount_);
+}
+
+void Runtime::startThreads(int count)
+{
+    for (int i = 0; i < count; ++i)
         threads_.emplace_back([this] { context_.run(); });
 }
 
--- a/transport/runtime.h
+++ b/transport/runtime.h
@@ -27,8 +27,9 @@
     boost::asio::io_context &context() { return context_; }
     Clock &clock() { return clock_; }
 
-    /// @return a new strand; handlers of one strand never run at the same time.
-    boost::asio::any_io_executor makeStrand() { return boost::asio::make_strand(context_); }
+    /// @return an executor whose handlers never run at the same time: a new strand, or the context
+    ///         itself when one thread runs it.
+    boost::asio::any_io_executor makeStrand();
 
     /// Runs @p task on a strand of its own. An exception that leaves it is logged.
     void spawn(boost::asio::awaitable<void> task);
@@ -36,7 +37,7 @@
     /// Calls @p handler on the first SIGTERM or SIGINT.
     void onTermination(std::function<void()> handler);
 
-    /// Runs handlers on the configured number of threads until stop().
+    /// Runs handlers on the configured number of threads, the calling one among them, until stop().
     void run();
 
     /// Runs handlers on background threads; stop() joins them.
@@ -49,6 +50,8 @@
     void requestStop() { context_.stop(); }
 
 private:
+    void startThreads(int count);
+
     const int threadCount_;
     boost::asio::io_context context_;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_;
--- a/transport/transport.h
+++ b/transport/transport.h
@@ -10,6 +10,7 @@
 #include "transport/http_server.h"
 #include "transport/latency_histogram.h"
 #include "transport/log.h"
+#include "transport/log_writer.h"
 #include "transport/metrics.h"
 #include "transport/rpc_client.h"
 #include "transport/rpc_service.h"
