Write log lines to standard output whole

Ruled out: lines dropped by the rate limit (none counted).

Change: at most PIPE_BUF bytes, which end at a line, go out in one write; a pipe takes those whole or not at all.

--- a/transport/log_writer.cpp
+++ b/transport/log_writer.cpp
@@ -5,6 +5,9 @@
 #include <fcntl.h>
 #include <unistd.h>
 
+#include <algorithm>
+#include <climits>
+
 namespace asio = boost::asio;
 
 namespace persimmon::transport {
@@ -46,11 +49,16 @@
 
 void LogWriter::flush()
 {
-    if (buffer_.empty())
-        return;
-    const auto written = ::write(STDOUT_FILENO, buffer_.data(), buffer_.size());
-    if (written > 0)
+    while (!buffer_.empty()) {
+        // A pipe takes so many bytes whole or not at all, so that no line is torn.
+        auto size = std::min<std::size_t>(buffer_.size(), PIPE_BUF);
+        const auto lineEnd = buffer_.rfind('\n', size - 1);
+        size = lineEnd == std::string::npos ? size : lineEnd + 1;
+        const auto written = ::write(STDOUT_FILENO, buffer_.data(), size);
+        if (written <= 0)
+            return;
         buffer_.erase(0, static_cast<std::size_t>(written));
+    }
 }
 
 asio::awaitable<void> LogWriter::flushLater()
