Share execution times among the shards of an index

Cause: each service learned its hedge delay alone and per kind of work, and stayed at the assumed 50 ms for its first ten answers; near and far upstreams shared one delay; the extra-load bucket started with one token.

Change: TimingBook holds the times by kind of work and by near or far, and the schedulers of one host share it. The least delay is half a near median beyond the usual time. A bucket that was never used starts full. Bins of LatencyRecord are 9.5% wide instead of 20%.

--- a/dispatch/service_executor.cpp
+++ b/dispatch/service_executor.cpp
@@ -4,7 +4,12 @@
 
 namespace persimmon::dispatch {
 
-ServiceExecutor::ServiceExecutor(ExecutorContext &context) : context_(context) {}
+ServiceExecutor::ServiceExecutor(ExecutorContext &context,
+                                 std::shared_ptr<state::TimingBook> timings)
+    : context_(context),
+      scheduler_(std::move(timings))
+{
+}
 
 void ServiceExecutor::configure(const state::ServiceSettings &settings)
 {
--- a/dispatch/service_executor.h
+++ b/dispatch/service_executor.h
@@ -37,7 +37,11 @@
 class ServiceExecutor : public std::enable_shared_from_this<ServiceExecutor>
 {
 public:
-    explicit ServiceExecutor(ExecutorContext &context);
+    /// @param timings shared with the executors of services that do the same work; only where one
+    ///        thread runs all of them.
+    explicit ServiceExecutor(
+            ExecutorContext &context,
+            std::shared_ptr<state::TimingBook> timings = std::make_shared<state::TimingBook>());
 
     void configure(const state::ServiceSettings &settings);
 
--- a/forward/service_set.cpp
+++ b/forward/service_set.cpp
@@ -8,7 +8,7 @@
     const Key key(service, homeRegions);
     auto &executor = executors_[key];
     if (!executor) {
-        executor = std::make_shared<dispatch::ServiceExecutor>(context_);
+        executor = std::make_shared<dispatch::ServiceExecutor>(context_, timings_);
         configure(key, *executor);
     }
     return *executor;
--- a/forward/service_set.h
+++ b/forward/service_set.h
@@ -49,6 +49,7 @@
     dispatch::ExecutorContext &context_;
     const state::UpstreamRegistry &registry_;
     const state::SharedLimits limits_;
+    const std::shared_ptr<state::TimingBook> timings_ = std::make_shared<state::TimingBook>();
     std::map<std::string, state::ServiceInfo> services_;
     state::HostShare share_;
     std::map<Key, std::shared_ptr<dispatch::ServiceExecutor>> executors_;
--- a/state/extra_load_budget.cpp
+++ b/state/extra_load_budget.cpp
@@ -6,12 +6,13 @@
 
 void ExtraLoadBudget::setCapacity(double capacity)
 {
-    tokens_ = std::min(capacity, tokens_ + std::max(0.0, capacity - capacity_));
+    tokens_ = used_ ? std::min(capacity, tokens_) : capacity;
     capacity_ = capacity;
 }
 
 void ExtraLoadBudget::addPrimary(double extraLoad)
 {
+    used_ = true;
     tokens_ = std::min(capacity_, tokens_ + extraLoad);
 }
 
--- a/state/extra_load_budget.h
+++ b/state/extra_load_budget.h
@@ -17,7 +17,7 @@
     {
     }
 
-    /// Takes a changed capacity. Growth is filled at once, since it is a burst that nobody used.
+    /// Takes a changed capacity. A bucket that was never used is filled, since its burst is free.
     void setCapacity(double capacity);
 
     /// Adds the tokens of one primary execution.
@@ -31,6 +31,7 @@
 private:
     double capacity_;
     double tokens_;
+    bool used_ = false;
 };
 
 } // namespace persimmon::state
--- a/state/latency_record.cpp
+++ b/state/latency_record.cpp
@@ -8,8 +8,8 @@
 namespace {
 
 constexpr std::chrono::microseconds FirstBinEdge{50};
-/// 72 bins, each 20% wider than the one before, reach from 50 us to 25 s.
-constexpr double BinGrowth = 1.2;
+/// 144 bins, each 9.5% wider than the one before, reach from 50 us to 24 s.
+constexpr double BinGrowth = 1.095;
 constexpr std::uint32_t DecayInterval = 256;
 /// Quantiles of fewer latencies would be noise.
 constexpr double LeastWeight = 10;
--- a/state/latency_record.h
+++ b/state/latency_record.h
@@ -28,7 +28,7 @@
     std::optional<Duration> quantile(double fraction) const;
 
 private:
-    static constexpr std::size_t BinCount = 72;
+    static constexpr std::size_t BinCount = 144;
 
     std::array<float, BinCount> bins_{};
     double weight_ = 0;
--- a/state/replica_set.cpp
+++ b/state/replica_set.cpp
@@ -141,6 +141,12 @@
     });
 }
 
+bool ReplicaSet::isFar(const std::string &name) const
+{
+    const auto found = replicas_.find(name);
+    return found != replicas_.end() && found->second.traits.costFactor > 1;
+}
+
 std::vector<std::string> ReplicaSet::names() const
 {
     std::vector<std::string> names;
--- a/state/replica_set.h
+++ b/state/replica_set.h
@@ -56,6 +56,7 @@
     bool hedging = true;
     /// Quantile of the observed latencies after which a hedge is sent.
     double hedgeQuantile = DefaultHedgeQuantile;
+    double leastHedgeMedians = 2;
     /// By upstream name; an upstream without an entry has the defaults.
     std::map<std::string, UpstreamTraits> traits = {};
     std::optional<ExtraLoadLimit> extraLoad = {};
@@ -111,6 +112,9 @@
     /// @return when a cold upstream next accepts a request, if its rate holds it back now.
     std::optional<TimePoint> nextColdStart(TimePoint now) const;
 
+    /// @return whether the use of an upstream costs more than that of a near one.
+    bool isFar(const std::string &name) const;
+
     /// @return names of the available upstreams.
     std::vector<std::string> names() const;
 
--- a/state/service_scheduler.cpp
+++ b/state/service_scheduler.cpp
@@ -16,9 +16,7 @@
 {
     SchedulerActions actions;
     hedging_ = settings.hedging;
-    hedgeQuantile_ = settings.hedgeQuantile;
-    for (auto &[workClass, timing] : timings_)
-        timing.setHedgeQuantile(hedgeQuantile_);
+    timings_->setHedgePolicy({settings.hedgeQuantile, settings.leastHedgeMedians});
     stragglerFactor_ = settings.stragglerFactor;
     crashTracking_ = settings.crashTracking;
     if (settings.extraLoad) {
@@ -77,7 +75,7 @@
     replicas_.onEnded(ended.upstream.name, result, sub.work.snapshot, latency, now);
     gate_.leave(sub.work.fingerprint);
     if (result.end == AttemptEnd::Answered) {
-        timingOf(sub).record(latency);
+        timingAt(sub, ended.upstream.name).record(latency);
         crashes_.onAnswer(sub.work.fingerprint);
     }
     const bool crashed =
@@ -138,12 +136,20 @@
     retryOrReply(actions, sub, executed, isChargedRefusal(result.end), now);
 }
 
-ServiceTiming &ServiceScheduler::timingOf(const Sub &sub)
+ServiceTiming &ServiceScheduler::timingOf(const Sub &sub) const
 {
-    const auto [row, isNew] = timings_.try_emplace(sub.work.workClass);
-    if (isNew)
-        row->second.setHedgeQuantile(hedgeQuantile_);
-    return row->second;
+    return timings_->of(sub.work.workClass, false);
+}
+
+ServiceTiming &ServiceScheduler::timingAt(const Sub &sub, const std::string &upstream) const
+{
+    return timings_->of(sub.work.workClass, replicas_.isFar(upstream));
+}
+
+Duration ServiceScheduler::hedgeDelayOf(const Sub &sub) const
+{
+    const bool far = replicas_.isFar(sub.attempts.front().upstream.name);
+    return timings_->hedgeDelay(sub.work.workClass, far);
 }
 
 bool ServiceScheduler::isChargedRefusal(AttemptEnd end) const
@@ -222,7 +228,7 @@
         tryHedge(actions, sub, now);
     else if (sub.attempts.size() > 1)
         endSilent(actions, sub, now);
-    setDue(sub, std::min(end, now + timingOf(sub).hedgeDelay()));
+    setDue(sub, std::min(end, now + hedgeDelayOf(sub)));
 }
 
 void ServiceScheduler::tryHedge(SchedulerActions &actions, Sub &sub, TimePoint now)
@@ -240,7 +246,7 @@
         return;
     // A straggler would answer too late, and the token is worth more for work that runs on one.
     const auto recent = replicas_.recentLatency(choice.upstream.name).value_or(Duration(0));
-    if (recent > timingOf(sub).hedgeDelay() * stragglerFactor_)
+    if (recent > hedgeDelayOf(sub) * stragglerFactor_)
         return;
     if (!budget_.tryTake())
         return;
@@ -251,7 +257,7 @@
 void ServiceScheduler::endSilent(SchedulerActions &actions, Sub &sub, TimePoint now)
 {
     auto &oldest = sub.attempts.front();
-    if (oldest.cancelled || now - oldest.startedAt < timingOf(sub).hedgeDelay() * SilenceFactor)
+    if (oldest.cancelled || now - oldest.startedAt < hedgeDelayOf(sub) * SilenceFactor)
         return;
     oldest.cancelled = true;
     actions.emplace_back(CancelAttempt{sub.work.id, oldest.number, oldest.upstream});
@@ -344,8 +350,7 @@
 
 std::optional<Duration> ServiceScheduler::typicalTime(std::uint32_t workClass) const
 {
-    const auto found = timings_.find(workClass);
-    return found == timings_.end() ? std::nullopt : found->second.typicalTime();
+    return timings_->typicalTime(workClass, false);
 }
 
 void ServiceScheduler::grant(SchedulerActions &actions, TimePoint now)
@@ -375,9 +380,8 @@
         const bool mayProbe = hedging_ && sub.work.repeatable && !sub.work.canary;
         const auto choice = choose(sub, now, mayProbe);
         start(actions, sub, choice.upstream, sub.nextKind, now);
-        setDue(sub, sub.work.repeatable
-                            ? std::min(sub.work.deadline, now + timingOf(sub).hedgeDelay())
-                            : sub.work.deadline + LateAnswerTime);
+        setDue(sub, sub.work.repeatable ? std::min(sub.work.deadline, now + hedgeDelayOf(sub))
+                                        : sub.work.deadline + LateAnswerTime);
     }
 }
 
--- a/state/service_scheduler.h
+++ b/state/service_scheduler.h
@@ -4,7 +4,7 @@
 #include "state/extra_load_budget.h"
 #include "state/replica_set.h"
 #include "state/scheduler_actions.h"
-#include "state/service_timing.h"
+#include "state/timing_book.h"
 #include "state/unproven_gate.h"
 
 #include <functional>
@@ -28,6 +28,13 @@
     /// retries are free of tokens, since they are no extra executions.
     static constexpr std::uint32_t RefusalLimit = 4;
 
+    /// @param timings execution times, shared with the schedulers of services that do the same work
+    ///        and run on the same thread.
+    explicit ServiceScheduler(std::shared_ptr<TimingBook> timings = std::make_shared<TimingBook>())
+        : timings_(std::move(timings))
+    {
+    }
+
     /// Takes what a new view says about the service.
     SchedulerActions onView(const ServiceSettings &settings, TimePoint now);
 
@@ -101,7 +108,12 @@
     SchedulerActions finish(SchedulerActions actions, TimePoint now);
     void grant(SchedulerActions &actions, TimePoint now);
     ReplicaSet::Choice choose(const Sub &sub, TimePoint now, bool mayProbe = false) const;
-    ServiceTiming &timingOf(const Sub &sub);
+    /// @return times of the work of @p sub at near upstreams.
+    ServiceTiming &timingOf(const Sub &sub) const;
+    /// @return times of the work of @p sub at upstreams as far as @p upstream.
+    ServiceTiming &timingAt(const Sub &sub, const std::string &upstream) const;
+    /// @return time after the start of the oldest attempt after which it is hedged.
+    Duration hedgeDelayOf(const Sub &sub) const;
     bool isChargedRefusal(AttemptEnd end) const;
     std::optional<TimePoint> nextEvent(TimePoint now) const;
     void refuseUnservable(SchedulerActions &actions, TimePoint now,
@@ -132,8 +144,7 @@
     ExtraLoadBudget budget_;
     CrashTracker crashes_;
     UnprovenGate gate_;
-    std::map<std::uint32_t, ServiceTiming> timings_;
-    double hedgeQuantile_ = DefaultHedgeQuantile;
+    std::shared_ptr<TimingBook> timings_;
     double stragglerFactor_ = 1;
     bool hedging_ = true;
     bool chargeRefusals_ = false;
--- a/state/service_timing.cpp
+++ b/state/service_timing.cpp
@@ -11,20 +11,18 @@
 /// Delay of a hedge before enough answers were observed.
 constexpr std::chrono::milliseconds AssumedHedgeDelay{50};
 constexpr std::chrono::milliseconds LeastHedgeDelay{5};
-/// In a steady service 5% of the answers are later than the 95th percentile, and hedges of these
-/// would use up the default budget. The delay is at least this many medians, so that the tokens are
-/// left for stragglers.
-constexpr int LeastHedgeMedians = 2;
 /// Bound of the queue when the observed execution time is tiny.
 constexpr double LargestQueue = 10'000;
 
 } // namespace
 
-Duration ServiceTiming::hedgeDelay() const
+Duration ServiceTiming::hedgeDelay(std::optional<Duration> nearMedian) const
 {
-    const Duration observed = latency_.quantile(hedgeQuantile_).value_or(AssumedHedgeDelay);
+    const Duration observed = latency_.quantile(policy_.quantile).value_or(AssumedHedgeDelay);
     const Duration typical = latency_.median().value_or(Duration(0));
-    return std::max<Duration>({observed, LeastHedgeDelay, typical * LeastHedgeMedians});
+    const auto beyond = nearMedian.value_or(typical) * (policy_.leastMedians - 1);
+    const auto least = typical + std::chrono::duration_cast<Duration>(beyond);
+    return std::max<Duration>({observed, LeastHedgeDelay, least});
 }
 
 std::size_t ServiceTiming::servable(std::size_t slots, TimePoint deadline, TimePoint now) const
--- a/state/service_timing.h
+++ b/state/service_timing.h
@@ -8,19 +8,30 @@
 
 constexpr double DefaultHedgeQuantile = 0.95;
 
+/// When an attempt without an answer is hedged.
+struct HedgePolicy
+{
+    /// Quantile of the observed latencies.
+    double quantile = DefaultHedgeQuantile;
+    /// Least delay in medians of near upstreams. In a steady service 5% of the answers are later
+    /// than the 95th percentile, and hedges of these would use up a small budget.
+    double leastMedians = 2;
+};
+
 /// What the observed execution times of a service say about hedges and waiting work.
 class ServiceTiming
 {
 public:
-    void setHedgeQuantile(double quantile) { hedgeQuantile_ = quantile; }
+    void setHedgePolicy(const HedgePolicy &policy) { policy_ = policy; }
 
     void record(Duration latency) { latency_.record(latency); }
 
     /// @return median execution time, or nothing before enough answers.
     std::optional<Duration> typicalTime() const { return latency_.median(); }
 
+    /// @param nearMedian median execution time at near upstreams; for those the own median.
     /// @return time after the start of an attempt after which it is hedged.
-    Duration hedgeDelay() const;
+    Duration hedgeDelay(std::optional<Duration> nearMedian) const;
 
     /// @param slots executions that run at the same time.
     /// @return how many waiting sub-requests can be served before @p deadline.
@@ -31,7 +42,7 @@
 
 private:
     LatencyRecord latency_;
-    double hedgeQuantile_ = DefaultHedgeQuantile;
+    HedgePolicy policy_;
 };
 
 } // namespace persimmon::state
--- a/state/state.h
+++ b/state/state.h
@@ -30,6 +30,7 @@
 #include "state/service_scheduler.h"
 #include "state/service_timing.h"
 #include "state/snapshot_token.h"
+#include "state/timing_book.h"
 #include "state/top_records.h"
 #include "state/unproven_gate.h"
 #include "state/upstream_ramp.h"
--- a/state/upstream_registry.cpp
+++ b/state/upstream_registry.cpp
@@ -17,7 +17,9 @@
 constexpr std::uint32_t PipelinedRequests = 1;
 /// Factor on the latency of an upstream in another region, whose answers cost transfer.
 constexpr double OtherRegionCost = 1.6;
-constexpr double HedgeQuantile = 0.9;
+/// The retry budget of the platform pays for a hedge of one request in six.
+constexpr double HedgeQuantile = 0.85;
+constexpr double LeastHedgeMedians = 1.5;
 /// An upstream in another region answers later than the hedge delay of a near one, and is still
 /// worth a hedge.
 constexpr double StragglerFactor = 4;
@@ -138,6 +140,7 @@
     ServiceSettings settings;
     settings.ramp = false;
     settings.hedgeQuantile = HedgeQuantile;
+    settings.leastHedgeMedians = LeastHedgeMedians;
     settings.stragglerFactor = StragglerFactor;
     settings.crashTracking = false;
     settings.extraLoad = {limits.retryBurst * DividedPart / share.hosts, true};
