--- a/forward/request_forwarder.h
+++ b/forward/request_forwarder.h
@@ -16,7 +16,7 @@
     /// Tokens that each first execution adds to the extra-load budget of its service.
     double extraLoad = 0.05;
     /// Time that an answer needs back to the caller.
-    std::chrono::milliseconds returnTime{20};
+    std::chrono::milliseconds returnTime{26};
 };
 
 /// Serves the requests of callers: finds the route, forwards to one service or to all shards, and
