Test the new decisions and mend two faults of relayed state

Cause: the tests, written against naive models, found two faults. A copy of the store that began with a range read does not know of keys that came and went before it, but passed its changes on as complete, so that a peer kept a deleted key for good; an older change that came again also brought a deleted key back. A host that restarted with a lower or equal incarnation (its clock had jumped back) was ignored by its peers for up to a minute.

A host that finds a row of an earlier start of its own takes a higher incarnation, and peers tell it of rows that they hold for dead.

--- a/coordination/peer_exchange.cpp
+++ b/coordination/peer_exchange.cpp
@@ -83,10 +83,10 @@
     return peers;
 }
 
-PeerMessage PeerExchange::makeMessage() const
+PeerMessage PeerExchange::makeMessage(const std::string &peer) const
 {
     PeerMessage message;
-    message.rows = membership_.liveRows();
+    message.rows = membership_.rowsFor(peer);
     message.revision = follower_.mirror().revision();
     message.wantsRecords = follower_.needsPeers();
     return message;
@@ -123,7 +123,7 @@
             co_return false;
         }
     }
-    transport::HttpRequest request("POST", ExchangeTarget, encodePeerMessage(makeMessage()));
+    transport::HttpRequest request("POST", ExchangeTarget, encodePeerMessage(makeMessage(peer)));
     const auto response = co_await link->connection->send(std::move(request), ExchangeTimeout);
     if (!isOk(response)) {
         noteFailure(peer, *link, errorOf(response).message);
@@ -159,9 +159,9 @@
     }
     const auto &message = valueOf(decoded);
     take(message);
-    auto reply = makeMessage();
+    auto reply = makeMessage(message.rows.empty() ? "" : message.rows.front().control);
     if (message.wantsRecords && reply.revision > message.revision)
-        reply.records = follower_.mirror().changesSince(message.revision);
+        reply.delta = follower_.mirror().deltaSince(message.revision);
     co_return transport::HttpResponse(200, encodePeerMessage(reply));
 }
 
@@ -172,8 +172,8 @@
                            {{"live", std::to_string(membership_.liveCount())}});
         onMembership_();
     }
-    if (!message.records.empty())
-        follower_.takeFromPeer(message.records, message.revision);
+    if (message.delta)
+        follower_.takeFromPeer(*message.delta);
     follower_.notePeerRevision(message.revision);
 }
 
--- a/coordination/peer_exchange.h
+++ b/coordination/peer_exchange.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -14,13 +15,14 @@
 /// What one host tells another.
 struct PeerMessage
 {
+    /// Rows of hosts, the sender's first.
     std::vector<state::EntryRow> rows;
     /// Revision up to which the sender knows the platform's store.
     std::uint64_t revision = 0;
     /// Whether the sender asks for records after its revision.
     bool wantsRecords = false;
-    /// Records after the revision of the asker.
-    std::vector<state::StoreRecord> records;
+    /// What the asker lacks; its revision is that of the message.
+    std::optional<state::RecordDelta> delta;
 
     bool operator==(const PeerMessage &) const = default;
 };
@@ -69,7 +71,7 @@
     boost::asio::awaitable<bool> askOnce(std::string peer, std::shared_ptr<Link> link);
     boost::asio::awaitable<transport::HttpResponse> answer(transport::HttpRequest request);
     std::vector<std::string> choosePeers();
-    PeerMessage makeMessage() const;
+    PeerMessage makeMessage(const std::string &peer) const;
     void take(const PeerMessage &message);
     void noteFailure(const std::string &peer, Link &link, const std::string &reason);
 
--- a/coordination/peer_message.cpp
+++ b/coordination/peer_message.cpp
@@ -50,9 +50,10 @@
     json::object text{{"rows", std::move(rows)}, {"revision", message.revision}};
     if (message.wantsRecords)
         text["wants_records"] = true;
-    if (!message.records.empty()) {
+    if (message.delta) {
+        text["snapshot"] = message.delta->isSnapshot;
         json::array records;
-        for (const auto &record : message.records) {
+        for (const auto &record : message.delta->records) {
             json::array columns{record.key, record.revision};
             if (record.value)
                 columns.emplace_back(*record.value);
@@ -74,8 +75,11 @@
         for (const auto &row : object.at("rows").as_array())
             message.rows.push_back(readRow(row.as_array()));
         if (const auto *records = object.if_contains("records")) {
+            auto &delta = message.delta.emplace();
+            delta.asOf = message.revision;
+            delta.isSnapshot = object.at("snapshot").as_bool();
             for (const auto &record : records->as_array())
-                message.records.push_back(readRecord(record.as_array()));
+                delta.records.push_back(readRecord(record.as_array()));
         }
     } catch (const std::exception &exception) {
         return CoordinationError{CoordinationErrorCode::InvalidAnswer, exception.what()};
--- a/coordination/record_follower.cpp
+++ b/coordination/record_follower.cpp
@@ -109,17 +109,17 @@
                                {"revision", std::to_string(mirror_.revision())}});
 }
 
-void RecordFollower::takeFromPeer(const std::vector<state::StoreRecord> &records,
-                                  std::uint64_t asOf)
+void RecordFollower::takeFromPeer(const state::RecordDelta &delta)
 {
-    if (asOf <= mirror_.revision())
+    if (delta.asOf <= mirror_.revision())
         return;
-    const auto news = mirror_.apply(records, asOf);
+    const auto news = mirror_.apply(delta);
     // The watch goes on from here, so that no complete read is needed.
     needsSnapshot_ = false;
     behind_ = behind_ && mirror_.revision() < peerRevision_;
-    transport::logInfo(Part, "records taken from a peer",
-                       {{"revision", std::to_string(asOf)}, {"news", std::to_string(news.size())}});
+    transport::logInfo(
+            Part, "records taken from a peer",
+            {{"revision", std::to_string(delta.asOf)}, {"news", std::to_string(news.size())}});
     if (!news.empty())
         onNews_(news);
 }
--- a/coordination/record_follower.h
+++ b/coordination/record_follower.h
@@ -65,9 +65,8 @@
 
     void start();
 
-    /// Takes records that a peer passed on.
-    /// @param asOf revision up to which they are complete, counted from the revision of the mirror.
-    void takeFromPeer(const std::vector<state::StoreRecord> &records, std::uint64_t asOf);
+    /// Takes what a peer's copy has beyond this one.
+    void takeFromPeer(const state::RecordDelta &delta);
 
     /// Takes the revision of a peer. A watch that has missed it for too long is opened anew.
     void notePeerRevision(std::uint64_t revision);
--- a/state/entry_membership.cpp
+++ b/state/entry_membership.cpp
@@ -25,7 +25,8 @@
 {
     if (row.control == self_.control) {
         // An earlier start of this host is still being passed on; it must not win.
-        if (row.incarnation > self_.incarnation)
+        if (std::pair(row.incarnation, row.heartbeat)
+            > std::pair(self_.incarnation, self_.heartbeat))
             self_.incarnation = row.incarnation + 1;
         return false;
     }
@@ -65,6 +66,15 @@
     return rows;
 }
 
+std::vector<EntryRow> EntryMembership::rowsFor(const std::string &peer) const
+{
+    auto rows = liveRows();
+    const auto found = peers_.find(peer);
+    if (found != peers_.end() && !found->second.live)
+        rows.push_back(found->second.row);
+    return rows;
+}
+
 std::vector<std::string> EntryMembership::livePeers() const
 {
     std::vector<std::string> peers;
--- a/state/entry_membership.h
+++ b/state/entry_membership.h
@@ -64,6 +64,11 @@
     /// @return the rows of this host and of all live ones.
     std::vector<EntryRow> liveRows() const;
 
+    /// @return liveRows() and the known row of @p peer even if that is dead: a host that started
+    /// anew
+    ///         with a lower incarnation learns from it that it must take a higher one.
+    std::vector<EntryRow> rowsFor(const std::string &peer) const;
+
     /// @return control addresses of the live hosts without this one.
     std::vector<std::string> livePeers() const;
 
--- a/state/record_mirror.cpp
+++ b/state/record_mirror.cpp
@@ -1,6 +1,7 @@
 #include "state/record_mirror.h"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 
 namespace persimmon::state {
@@ -8,14 +9,12 @@
 std::vector<StoreRecord> RecordMirror::apply(const std::vector<StoreRecord> &changes,
                                              std::uint64_t asOf)
 {
-    std::vector<StoreRecord> news;
-    for (const auto &change : changes) {
-        if (take(change))
-            news.push_back(change);
-    }
-    revision_ = std::max(revision_, asOf);
-    forgetOldDeletions();
-    return news;
+    std::vector<StoreRecord> current;
+    // What is older than this copy was delivered late or again. A key that it does not hold was
+    // deleted, and must not come back.
+    std::copy_if(changes.begin(), changes.end(), std::back_inserter(current),
+                 [this](const StoreRecord &change) { return change.revision > revision_; });
+    return takeAll(current, asOf);
 }
 
 std::vector<StoreRecord> RecordMirror::applySnapshot(const std::vector<StoreRecord> &items,
@@ -29,17 +28,49 @@
         if (record.value && record.revision <= asOf && !seen.contains(key))
             changes.push_back({key, asOf, std::nullopt});
     }
-    return apply(changes, asOf);
+    deletionsKnownSince_ = std::max(deletionsKnownSince_, asOf);
+    return takeAll(changes, asOf);
 }
 
-std::vector<StoreRecord> RecordMirror::changesSince(std::uint64_t revision) const
+std::vector<StoreRecord> RecordMirror::takeAll(const std::vector<StoreRecord> &changes,
+                                               std::uint64_t asOf)
 {
-    std::vector<StoreRecord> changes;
+    std::vector<StoreRecord> news;
+    for (const auto &change : changes) {
+        if (take(change))
+            news.push_back(change);
+    }
+    revision_ = std::max(revision_, asOf);
+    forgetOldDeletions();
+    return news;
+}
+
+std::vector<StoreRecord> RecordMirror::apply(const RecordDelta &delta)
+{
+    return delta.isSnapshot ? applySnapshot(delta.records, delta.asOf)
+                            : apply(delta.records, delta.asOf);
+}
+
+RecordDelta RecordMirror::deltaSince(std::uint64_t revision) const
+{
+    if (revision < deletionsKnownSince_)
+        return {records(), revision_, true};
+    RecordDelta delta{{}, revision_, false};
     for (const auto &[key, record] : records_) {
         if (record.revision > revision)
-            changes.push_back(record);
+            delta.records.push_back(record);
+    }
+    return delta;
+}
+
+std::vector<StoreRecord> RecordMirror::records() const
+{
+    std::vector<StoreRecord> existing;
+    for (const auto &[key, record] : records_) {
+        if (record.value)
+            existing.push_back(record);
     }
-    return changes;
+    return existing;
 }
 
 bool RecordMirror::take(const StoreRecord &record)
@@ -69,6 +100,7 @@
     const auto middle = revisions.begin() + static_cast<std::ptrdiff_t>(revisions.size() / 2);
     std::nth_element(revisions.begin(), middle, revisions.end());
     const auto oldest = *middle;
+    deletionsKnownSince_ = std::max(deletionsKnownSince_, oldest);
     deletedCount_ -= std::erase_if(records_, [oldest](const auto &row) {
         return !row.second.value && row.second.revision < oldest;
     });
--- a/state/record_mirror.h
+++ b/state/record_mirror.h
@@ -22,6 +22,18 @@
     bool operator==(const StoreRecord &) const = default;
 };
 
+/// What one copy of the store lacks of another.
+struct RecordDelta
+{
+    std::vector<StoreRecord> records;
+    /// Revision up to which the records are complete.
+    std::uint64_t asOf = 0;
+    /// Whether the records are all that exist, and not only what changed.
+    bool isSnapshot = false;
+
+    bool operator==(const RecordDelta &) const = default;
+};
+
 /// Copy of the platform's store, from its own answers and from those of peers. For each key the
 /// highest revision wins, so that late, repeated and reordered changes do no harm.
 class RecordMirror
@@ -41,8 +53,17 @@
     std::vector<StoreRecord> applySnapshot(const std::vector<StoreRecord> &items,
                                            std::uint64_t asOf);
 
-    /// @return the records, deleted ones included, changed after @p revision.
-    std::vector<StoreRecord> changesSince(std::uint64_t revision) const;
+    /// Takes what a peer's copy has beyond this one.
+    /// @return the changes that were news.
+    std::vector<StoreRecord> apply(const RecordDelta &delta);
+
+    /// @return what a copy that is complete up to @p revision lacks. All records, if deletions
+    /// since
+    ///         then may be unknown here: a range read does not tell of keys that came and went.
+    RecordDelta deltaSince(std::uint64_t revision) const;
+
+    /// @return the records that exist.
+    std::vector<StoreRecord> records() const;
 
     /// @return the revision up to which this copy is complete; 0 before the first read.
     std::uint64_t revision() const { return revision_; }
@@ -50,12 +71,15 @@
     std::size_t size() const { return records_.size(); }
 
 private:
+    std::vector<StoreRecord> takeAll(const std::vector<StoreRecord> &changes, std::uint64_t asOf);
     bool take(const StoreRecord &record);
     void forgetOldDeletions();
 
     std::map<std::string, StoreRecord> records_;
     std::size_t deletedCount_ = 0;
     std::uint64_t revision_ = 0;
+    /// All deletions after this revision are known.
+    std::uint64_t deletionsKnownSince_ = 0;
 };
 
 } // namespace persimmon::state
--- /dev/null
+++ b/tests/platform/test_record_codec.cpp
@@ -0,0 +1,163 @@
+#include "platform/platform.h"
+
+#include <doctest/doctest.h>
+
+#include <random>
+
+using namespace persimmon;
+using namespace persimmon::platform;
+
+namespace {
+
+const std::string Server = R"({"service":"s1","address":"10.0.0.9:8080","zone":"z1","version":"v1",
+"concurrency_limit":2,"state":"ready","cold_left_ms":1500,"sequence":4,"born":17})";
+
+const std::string Config = R"({"version":7,"routes":[
+{"name":"g","host":"h.example","prefix":"/g/","kind":"idempotent","deadline_ms":500,"goal_ms":80,
+ "priority":2,"gather":["s1","s2"],"max_attempts":2,"top_k":5,"min_fraction":0.75,"home_regions":[]},
+{"name":"p","host":"h.example","prefix":"/p/","kind":"non_idempotent","deadline_ms":2500,
+ "priority":9,"split":[{"service":"s3","weight":3},{"service":"s4","weight":1}],"max_attempts":1,
+ "home_regions":["r1"]}],
+"services":[{"name":"s1","health_path":"/health","max_conns":25,"cold_start_s":3.0,
+"warmup_per_s":12.5}],
+"limits":{"max_header_bytes":16384,"max_body_bytes":262144,"header_ms":3000,"idle_ms":15000}})";
+
+std::string replaced(std::string text, const std::string &from, const std::string &to)
+{
+    text.replace(text.find(from), from.size(), to);
+    return text;
+}
+
+template <typename Expected>
+bool means(const state::StoreRecord &record)
+{
+    return std::holds_alternative<Expected>(interpretRecord(record));
+}
+
+} // namespace
+
+TEST_CASE("base64 is decoded with its padding")
+{
+    CHECK(decodeBase64("bm9kZS0x") == "node-1");
+    CHECK(decodeBase64("YQ==") == "a");
+    CHECK(decodeBase64("YWI=") == "ab");
+    CHECK(decodeBase64("") == "");
+    CHECK_FALSE(decodeBase64("YQ"));
+    CHECK_FALSE(decodeBase64("Y==="));
+    CHECK_FALSE(decodeBase64("!!!!"));
+}
+
+TEST_CASE("a configuration is read into routes and services")
+{
+    const auto decoded = decodeConfig(Config);
+    REQUIRE(isOk(decoded));
+    const auto &config = valueOf(decoded);
+    CHECK(config.version == 7);
+    REQUIRE(config.routes.size() == 2);
+    CHECK(config.routes[0].gather.shards == std::vector<std::string>{"s1", "s2"});
+    CHECK(config.routes[0].gather.topRecords == 5);
+    CHECK(config.routes[0].goal == std::chrono::milliseconds(80));
+    CHECK(config.routes[0].idempotent);
+    CHECK_FALSE(config.routes[1].idempotent);
+    CHECK(config.routes[1].priority == protocol::Priority::Bulk);
+    CHECK(config.routes[1].goal == config.routes[1].timeout);
+    CHECK(config.routes[1].targets.size() == 2);
+    CHECK(config.routes[1].homeRegions == std::vector<std::string>{"r1"});
+    CHECK(config.services.at("s1").coldTime == std::chrono::seconds(3));
+    CHECK(config.limits.idleTime == std::chrono::seconds(15));
+}
+
+TEST_CASE("a configuration that cannot be read is refused whole")
+{
+    // Guards against a version in force with some of its routes missing.
+    CHECK_FALSE(isOk(decodeConfig("")));
+    CHECK_FALSE(isOk(decodeConfig("[]")));
+    CHECK_FALSE(isOk(decodeConfig(replaced(Config, "\"version\":7", "\"version\":\"seven\""))));
+    CHECK_FALSE(isOk(decodeConfig(replaced(Config, "\"prefix\":\"/g/\",", ""))));
+    CHECK_FALSE(isOk(decodeConfig(replaced(Config, "\"gather\":[\"s1\",\"s2\"],", ""))));
+    CHECK_FALSE(isOk(decodeConfig(replaced(Config, "[\"s1\",\"s2\"]", "[1,2]"))));
+}
+
+TEST_CASE("a registration that cannot be read names no upstream")
+{
+    // Guards against work for an upstream of another writer, and against a bad record that takes
+    // the others down.
+    const auto decoded = decodeUpstream("i-1", Server);
+    REQUIRE(isOk(decoded));
+    CHECK(valueOf(decoded).coldLeft == std::chrono::milliseconds(1500));
+    CHECK(valueOf(decoded).born == 17);
+    CHECK_FALSE(valueOf(decoded).draining);
+    for (const auto &[from, to] : std::vector<std::pair<std::string, std::string>>{
+                 {"\"ready\"", "\"asleep\""},
+                 {"\"ready\"", "3"},
+                 {"\"10.0.0.9:8080\"", "\"somewhere\""},
+                 {"\"service\":\"s1\",", ""},
+                 {"\"concurrency_limit\":2", "\"concurrency_limit\":\"two\""},
+                 {"\"zone\":\"z1\"", "\"zone\":null"},
+                 {"\"born\":17", "\"born\":\"then\""}}) {
+        CAPTURE(to);
+        CHECK_FALSE(isOk(decodeUpstream("i-1", replaced(Server, from, to))));
+    }
+    CHECK(means<host::UpstreamGone>({"servers/i-1", 3, "////"}));
+    CHECK(means<host::UpstreamGone>({"servers/i-1", 3, "not base64"}));
+    CHECK(means<host::UpstreamGone>({"servers/i-1", 3, std::nullopt}));
+}
+
+TEST_CASE("keys are interpreted by their prefix")
+{
+    CHECK(means<host::EvacuationRecord>({"op/evacuate/z1", 1, "e30="}));
+    const auto over = interpretRecord({"op/evacuate/z1", 2, std::nullopt});
+    CHECK_FALSE(std::get<host::EvacuationRecord>(over).evacuated);
+    CHECK(means<host::IgnoredRecord>({"op/config", 1, "e30="}));
+    CHECK(means<host::IgnoredRecord>({"op/config", 1, std::nullopt}));
+    CHECK(means<host::IgnoredRecord>({"elsewhere", 1, "e30="}));
+}
+
+TEST_CASE("decoders survive random damage")
+{
+    // Guards against a decoder that throws or reads out of bounds on bytes of another writer.
+    std::mt19937 random(1);
+    for (int i = 0; i < 10'000; ++i) {
+        auto text = random() % 2 == 0 ? Server : Config;
+        for (std::uint32_t change = 0; change <= random() % 4; ++change)
+            text[random() % text.size()] = static_cast<char>(random() % 256);
+        if (random() % 4 == 0)
+            text.resize(random() % text.size());
+        decodeUpstream("i-1", text);
+        decodeConfig(text);
+        decodeBase64(text);
+        decodePage(text);
+        decodeChanges(text);
+    }
+}
+
+TEST_CASE("pages and changes of the store are read with their revisions")
+{
+    const auto page = decodePage(
+            R"({"items":[{"key":"a","value":"YQ==","revision":4,"created":2,"lease":0}],"has_more":true,"as_of":9})");
+    REQUIRE(isOk(page));
+    CHECK(valueOf(page).hasMore);
+    CHECK(valueOf(page).asOf == 9);
+    CHECK(valueOf(page).items.at(0) == state::StoreRecord{"a", 4, "YQ=="});
+    const auto changes =
+            decodeChanges(R"({"events":[{"key":"a","revision":5,"deleted":true}],"as_of":5})");
+    REQUIRE(isOk(changes));
+    CHECK_FALSE(valueOf(changes).records.at(0).value);
+    CHECK_FALSE(isOk(decodePage(R"({"items":[{"key":"a"}],"has_more":false,"as_of":1})")));
+    CHECK_FALSE(isOk(decodeChanges(R"({"events":[],"as_of":"x"})")));
+}
+
+TEST_CASE("questions where to connect are read from their query")
+{
+    const auto question = readLocate("/resolve?name=h.example&region=r1&zone=z1");
+    REQUIRE(question);
+    CHECK(question->host == "h.example");
+    CHECK(question->region == "r1");
+    CHECK(readLocate("/resolve")->host.empty());
+    CHECK_FALSE(readLocate("/other?name=h"));
+    CHECK_FALSE(readLocate("not a target"));
+    state::EntryRow row;
+    row.front = "10.0.0.1:80";
+    CHECK(formatLocate({row}, std::chrono::milliseconds(2500))
+          == R"({"addrs":["10.0.0.1:80"],"ttl_s":2.5E0})");
+}
--- /dev/null
+++ b/tests/platform/test_settings_file.cpp
@@ -0,0 +1,78 @@
+#include "platform/platform.h"
+
+#include <doctest/doctest.h>
+
+using namespace persimmon;
+using namespace persimmon::platform;
+
+namespace {
+
+const std::string Valid = R"(
+node_name: "h1"
+zone: "z1"
+region: "r1"
+zones: {z1: "r1", z2: "r2"}
+future_field: [1, 2]
+listen_addrs:
+  front: "127.0.0.1:8104"
+  ready_addr: "127.0.0.1:8108"
+  control: "127.0.0.1:8106"
+  directory: "127.0.0.1:8100"
+seed_nodes: ["127.0.0.1:8106"]
+bounds:
+  retry_ratio: 0.2
+  retry_burst: 52
+  cold_excess: 1.5
+  cold_slack: 5
+  grace_s: 6
+  ttl_max_s: 5
+platform:
+  address: "127.0.0.1:9000"
+)";
+
+std::string replaced(std::string text, const std::string &from, const std::string &to)
+{
+    text.replace(text.find(from), from.size(), to);
+    return text;
+}
+
+std::string failureOf(const std::string &text)
+{
+    const auto parsed = parseSettings(text);
+    return isOk(parsed) ? "" : errorOf(parsed).message;
+}
+
+} // namespace
+
+TEST_CASE("settings are read into the product's terms")
+{
+    const auto parsed = parseSettings(Valid);
+    REQUIRE(isOk(parsed));
+    const auto &host = valueOf(parsed).host;
+    CHECK(host.name == "h1");
+    CHECK(host.failureDomain == "z1");
+    CHECK(host.regionOfDomain.at("z2") == "r2");
+    CHECK(host.limits.retryBurst == 52);
+    CHECK(host.retryRatio <= 0.2);
+    CHECK(host.grace == std::chrono::seconds(6));
+    CHECK(host.directoryTime == std::chrono::seconds(5));
+    CHECK(host.seeds.size() == 1);
+    CHECK(valueOf(parsed).store == "127.0.0.1:9000");
+}
+
+TEST_CASE("a bad setting is refused with its path and value")
+{
+    // Guards against a program that starts with defaults in place of what the file meant.
+    CHECK(failureOf(replaced(Valid, "node_name: \"h1\"", "")) == "node_name is missing");
+    CHECK(failureOf(replaced(Valid, "127.0.0.1:8104", "front"))
+          == "listen_addrs.front must be IP:port, is 'front'");
+    CHECK(failureOf(replaced(Valid, "retry_ratio: 0.2", "retry_ratio: much"))
+          == "bounds.retry_ratio has the wrong type");
+    CHECK(failureOf(replaced(Valid, "zones: {z1: \"r1\", z2: \"r2\"}", "zones: 3"))
+          == "zones has the wrong type");
+    CHECK(failureOf(replaced(Valid, "  address: \"127.0.0.1:9000\"", "  form: read"))
+          == "platform.address is missing");
+    CHECK_FALSE(failureOf("a: [").empty());
+    CHECK_FALSE(failureOf("").empty());
+    CHECK(errorOf(loadSettings("/nonexistent")).code == PlatformErrorCode::Unreadable);
+}
--- /dev/null
+++ b/tests/state/test_entry_membership.cpp
@@ -0,0 +1,142 @@
+#include "state/state.h"
+
+#include <doctest/doctest.h>
+
+#include <random>
+
+using namespace persimmon;
+using namespace persimmon::state;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const TimePoint Start{std::chrono::hours(1)};
+
+EntryRow makeRow(const std::string &name, const std::string &region = "r1",
+                 EntryPhase phase = EntryPhase::Ready)
+{
+    EntryRow row;
+    row.control = name;
+    row.front = name + ":front";
+    row.region = region;
+    row.incarnation = 1;
+    row.heartbeat = 1;
+    row.phase = phase;
+    return row;
+}
+
+std::vector<std::string> namesOf(const std::vector<EntryRow> &rows)
+{
+    std::vector<std::string> names;
+    for (const auto &row : rows)
+        names.push_back(row.control);
+    return names;
+}
+
+using Names = std::vector<std::string>;
+
+} // namespace
+
+TEST_CASE("a host whose heartbeat stands still is dead, even if others repeat its row")
+{
+    // Guards against a directory that names a killed host because its old row goes round.
+    EntryMembership membership(makeRow("a"));
+    CHECK(membership.merge({makeRow("b")}, Start));
+    CHECK(membership.liveCount() == 2);
+    for (auto now = Start; now <= Start + seconds(4); now += seconds(1)) {
+        membership.merge({makeRow("b")}, now);
+        membership.expire(now);
+    }
+    CHECK(membership.liveCount() == 1);
+    auto later = makeRow("b");
+    later.heartbeat = 2;
+    CHECK(membership.merge({later}, Start + seconds(5)));
+    CHECK(membership.liveCount() == 2);
+}
+
+TEST_CASE("a restarted host wins over rows of its earlier start")
+{
+    // Guards against a host whose clock jumped back and whose new rows nobody takes.
+    EntryMembership restarted(makeRow("a"));
+    auto old = makeRow("a");
+    old.incarnation = 50;
+    old.heartbeat = 900;
+    restarted.merge({old}, Start);
+    CHECK(restarted.self().incarnation > 50);
+    EntryMembership other(makeRow("b"));
+    other.merge({old}, Start);
+    other.merge({restarted.self()}, Start);
+    old.heartbeat = 901;
+    other.merge({old}, Start);
+    for (const auto &row : other.liveRows()) {
+        if (row.control == "a")
+            CHECK(row.incarnation == restarted.self().incarnation);
+    }
+}
+
+TEST_CASE("hosts agree on their positions and each has its own")
+{
+    // Guards against two hosts that take the same part of a shared limit.
+    std::set<std::uint32_t> positions;
+    for (const auto *self : {"a", "b", "c"}) {
+        EntryMembership membership(makeRow(self));
+        membership.merge({makeRow("a"), makeRow("b"), makeRow("c")}, Start);
+        CHECK(membership.liveCount() == 3);
+        positions.insert(membership.position());
+    }
+    CHECK(positions == std::set<std::uint32_t>{0, 1, 2});
+}
+
+TEST_CASE("callers are told of ready hosts in their region if it serves")
+{
+    // Guards against hosts that leave or start, and against a far host where a near one serves.
+    const std::vector<EntryRow> rows{makeRow("a", "r1"), makeRow("b", "r2"),
+                                     makeRow("c", "r1", EntryPhase::Leaving), makeRow("d", "r3"),
+                                     makeRow("e", "r1", EntryPhase::Starting)};
+    CHECK(namesOf(chooseEntries(rows, "r1", {"r1", "r2"}, 64)) == Names{"a"});
+    CHECK(namesOf(chooseEntries(rows, "r3", {"r1", "r2"}, 64)) == Names{"a", "b"});
+    CHECK(namesOf(chooseEntries(rows, "r3", {}, 64)) == Names{"a", "b", "d"});
+    CHECK(namesOf(chooseEntries({rows[2], rows[4]}, "r1", {"r1"}, 64)) == Names{"e"});
+    CHECK(chooseEntries(rows, "r3", {}, 2).size() == 2);
+}
+
+TEST_CASE("membership converges after random exchanges, losses and restarts")
+{
+    // Guards against views that stay apart although hosts exchange rows again.
+    std::mt19937 random(9);
+    for (int schedule = 0; schedule < 1000; ++schedule) {
+        std::vector<EntryMembership> hosts;
+        for (const auto *name : {"a", "b", "c", "d"})
+            hosts.emplace_back(makeRow(name));
+        auto now = Start;
+        const auto exchange = [&](std::size_t from, std::size_t to) {
+            hosts[to].merge(hosts[from].rowsFor(hosts[to].self().control), now);
+            hosts[from].merge(hosts[to].rowsFor(hosts[from].self().control), now);
+        };
+        std::uint64_t incarnation = 2;
+        for (int step = 0; step < 60; ++step) {
+            now += milliseconds(random() % 300);
+            const auto from = random() % hosts.size();
+            hosts[from].beat();
+            if (random() % 10 == 0) {
+                auto row = makeRow(hosts[from].self().control);
+                row.incarnation = random() % 2 == 0 ? ++incarnation : 1;
+                hosts[from] = EntryMembership(row);
+            }
+            if (random() % 3 != 0)
+                exchange(from, random() % hosts.size());
+            for (auto &host : hosts)
+                host.expire(now);
+        }
+        for (int round = 0; round < 4; ++round) {
+            for (std::size_t from = 0; from < hosts.size(); ++from) {
+                hosts[from].beat();
+                for (std::size_t to = 0; to < hosts.size(); ++to)
+                    exchange(from, to);
+            }
+        }
+        for (const auto &host : hosts)
+            CHECK(host.liveCount() == hosts.size());
+    }
+}
--- /dev/null
+++ b/tests/state/test_forwarding_schedule.cpp
@@ -0,0 +1,212 @@
+#include "state/state.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+
+using namespace persimmon;
+using namespace persimmon::state;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+/// One service whose retries count as arrivals, on a clock that the test advances.
+class Fixture
+{
+public:
+    Fixture()
+    {
+        for (const auto *name : {"a", "b"}) {
+            settings.available.push_back(
+                    {name, protocol::HostKind::Upstream, "127.0.0.1:1", "d", "s"});
+            settings.traits[name].limit = 3;
+        }
+        settings.share = 3;
+        settings.ramp = false;
+        settings.crashTracking = false;
+        settings.stragglerFactor = 4;
+        settings.extraLoad = {2, true};
+        configure();
+    }
+
+    void configure() { apply(scheduler.onView(settings, now)); }
+
+    std::uint64_t arrive()
+    {
+        SubWork work;
+        work.id = ++lastId;
+        work.extraLoad = 0;
+        work.upstreamLimit = upstreamLimit;
+        work.deadline = now + milliseconds(800);
+        apply(scheduler.onArrival(work, now));
+        return work.id;
+    }
+
+    void end(std::uint64_t id, AttemptEnd reason)
+    {
+        const auto attempt = running.at(id);
+        AttemptResult result;
+        result.end = reason;
+        apply(scheduler.onAttemptEnded(id, attempt.attempt, result, now));
+    }
+
+    void advance(milliseconds time)
+    {
+        now += time;
+        apply(scheduler.onTimer(now));
+    }
+
+    void apply(const SchedulerActions &actions)
+    {
+        for (const auto &action : actions) {
+            if (const auto *start = std::get_if<StartAttempt>(&action)) {
+                running[start->id] = *start;
+                ++starts[start->upstream.name];
+            } else if (const auto *reply = std::get_if<SubReply>(&action)) {
+                replies[reply->id] = *reply;
+            }
+        }
+    }
+
+    ServiceSettings settings;
+    ServiceScheduler scheduler;
+    TimePoint now{std::chrono::hours(1)};
+    std::uint32_t upstreamLimit = 2;
+    std::uint64_t lastId = 0;
+    std::map<std::uint64_t, StartAttempt> running;
+    std::map<std::uint64_t, SubReply> replies;
+    std::map<std::string, int> starts;
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(Fixture, "retries after refusals stay within the budget where arrivals count")
+{
+    // Load pattern: upstreams that shed while they are healthy. Guards against refused retries that
+    // are free and together exceed what the upstreams allow.
+    int arrivals = 0;
+    for (int i = 0; i < 20; ++i) {
+        const auto id = arrive();
+        while (!replies.contains(id))
+            end(id, AttemptEnd::Shed);
+    }
+    for (const auto &[name, count] : starts)
+        arrivals += count;
+    CHECK(arrivals == 20 + 2);
+    CHECK(replies.at(1).outcome == protocol::SubOutcome::NotRun);
+}
+
+TEST_CASE_FIXTURE(Fixture, "a connection that was never made costs no token")
+{
+    // Guards against a budget that dead upstreams use up although nothing arrived anywhere.
+    const auto id = arrive();
+    const auto first = running.at(id).upstream.name;
+    end(id, AttemptEnd::NotWritten);
+    CHECK(running.at(id).upstream.name != first);
+    CHECK(scheduler.budget().tokens() == 2);
+}
+
+TEST_CASE_FIXTURE(Fixture, "a request runs on no more upstreams than its limit")
+{
+    // Guards against a third upstream for a request that may run on two.
+    settings.available.push_back({"c", protocol::HostKind::Upstream, "127.0.0.1:1", "d", "s"});
+    settings.extraLoad = {50, true};
+    configure();
+    for (int i = 0; i < 20; ++i) {
+        const auto id = arrive();
+        std::set<std::string> used;
+        while (!replies.contains(id)) {
+            used.insert(running.at(id).upstream.name);
+            end(id, AttemptEnd::Failed);
+        }
+        CHECK(used.size() <= 2);
+    }
+}
+
+TEST_CASE_FIXTURE(Fixture, "the failure of an upstream is passed on when nothing better comes")
+{
+    // Guards against an own error in place of the answer that the upstream gave.
+    settings.extraLoad = {0, true};
+    configure();
+    const auto id = arrive();
+    AttemptResult result;
+    result.end = AttemptEnd::Failed;
+    auto answer = std::make_shared<protocol::ForwardedAnswer>();
+    answer->status = 500;
+    result.answer = answer;
+    apply(scheduler.onAttemptEnded(id, running.at(id).attempt, result, now));
+    REQUIRE(replies.contains(id));
+    CHECK(replies.at(id).outcome == protocol::SubOutcome::Unknown);
+    REQUIRE(replies.at(id).answer);
+    CHECK(replies.at(id).answer->status == 500);
+}
+
+TEST_CASE_FIXTURE(Fixture, "new work avoids an upstream that has stalled")
+{
+    // Load pattern: an upstream pauses with work in flight. Guards against new work that queues up
+    // behind the pause.
+    for (int i = 0; i < 30; ++i) {
+        const auto id = arrive();
+        now += milliseconds(10);
+        end(id, AttemptEnd::Answered);
+    }
+    const auto stuck = arrive();
+    const auto paused = running.at(stuck).upstream.name;
+    now += milliseconds(40);
+    for (int i = 0; i < 3; ++i)
+        CHECK(running.at(arrive()).upstream.name != paused);
+}
+
+TEST_CASE_FIXTURE(Fixture, "work that waits for a cold upstream starts when its rate allows")
+{
+    // Load pattern: a whole service that returns cold. Guards against more than the rate and
+    // against work that nothing wakes.
+    settings.available.pop_back();
+    settings.traits["a"].coldUntil = now + seconds(5);
+    settings.traits["a"].coldRate = 1;
+    configure();
+    const auto first = arrive();
+    const auto second = arrive();
+    CHECK(running.contains(first));
+    CHECK_FALSE(running.contains(second));
+    end(first, AttemptEnd::Answered);
+    CHECK_FALSE(running.contains(second));
+    // The deadline of 800 ms is before the next start, so that the work is refused and not sent.
+    advance(milliseconds(800));
+    REQUIRE(replies.contains(second));
+    CHECK(replies.at(second).outcome == protocol::SubOutcome::NotRun);
+    now += ColdRate::Window;
+    CHECK(running.contains(arrive()));
+}
+
+TEST_CASE("schedulers that share a book know when an answer is late from the first request on")
+{
+    // Load pattern: a query over 20 shards after a start. Guards against hedges that wait for the
+    // assumed delay because each shard alone has seen too few answers.
+    const auto book = std::make_shared<TimingBook>();
+    for (int i = 0; i < 20; ++i)
+        book->of(1, false).record(milliseconds(10));
+    CHECK(book->hedgeDelay(1, false) <= milliseconds(25));
+    // Far upstreams add their way, not a multiple of it.
+    for (int i = 0; i < 20; ++i)
+        book->of(1, true).record(milliseconds(30));
+    CHECK(book->hedgeDelay(1, true) <= milliseconds(50));
+    CHECK(book->hedgeDelay(1, true) > book->hedgeDelay(1, false));
+}
+
+TEST_CASE("a budget that was never used starts with its whole burst")
+{
+    // Guards against a restarted host that cannot hedge, and against bursts that are filled again
+    // by each change of the number of hosts.
+    ExtraLoadBudget budget;
+    budget.setCapacity(7);
+    CHECK(budget.tokens() == 7);
+    budget.addPrimary(0);
+    while (budget.tryTake()) {
+    }
+    budget.setCapacity(20);
+    CHECK(budget.tokens() < 1);
+    budget.setCapacity(0.5);
+    CHECK(budget.tokens() <= 0.5);
+}
