Let a few hosts read the store and the others follow their copies

Exchanges carried the rows of all hosts each time.

Change: three hosts, one in each region if possible, read the store. The others follow the copy of a host of their region by long polls, at most eight behind one copy. A host that lost the store goes on trying and another reads. Hosts that hold the same rows exchange only heartbeats. Changes that follow each other within 120 ms come with one call.

Ruled out: pushing news to random hosts.

Tests: sources form trees for 1 to 500 hosts, loss of the store, digests, damaged messages.

--- a/coordination/peer_exchange.cpp
+++ b/coordination/peer_exchange.cpp
@@ -13,6 +13,9 @@
 
 constexpr const char *Part = "peers";
 constexpr const char *ExchangeTarget = "/exchange";
+constexpr const char *WatchTarget = "/watch";
+/// Longest wait for news of a peer's copy; shorter than what the asker waits.
+constexpr std::chrono::milliseconds PeerWatchTime{3500};
 constexpr std::chrono::milliseconds ExchangeTimeout{600};
 /// Pause before a host that did not answer is asked again; doubles up to the longest.
 constexpr std::chrono::milliseconds FirstRetry{500};
@@ -54,7 +57,7 @@
                                   {{"live", std::to_string(membership_.liveCount())}});
             onMembership_();
         }
-        for (const auto &peer : choosePeers())
+        for (const auto &peer : choosePeers(FanOut))
             runtime_.spawn(ask(peer));
         co_await runtime_.clock().sleep(round < FastRounds ? FastRoundTime : RoundTime);
     }
@@ -66,13 +69,69 @@
         runtime_.spawn(ask(peer));
 }
 
-std::vector<std::string> PeerExchange::choosePeers()
+void PeerExchange::wakeWatchers()
+{
+    for (const auto &watcher : watchers_)
+        watcher->notify();
+}
+
+asio::awaitable<Result<state::RecordDelta, StoreFailure>>
+PeerExchange::watchPeer(std::string peer, std::uint64_t after, std::chrono::milliseconds wait)
+{
+    auto connection = watchConnection_;
+    if (!connection || peer != watchedPeer_ || !connection->isOpen()
+        || connection->isPeerClosed()) {
+        if (connection)
+            connection->close();
+        const auto endpoint = transport::parseEndpoint(peer);
+        if (!isOk(endpoint))
+            co_return StoreFailure::Unavailable;
+        connection = std::make_shared<transport::HttpConnection>(runtime_.makeStrand());
+        const auto connected = co_await connection->connect(valueOf(endpoint), ExchangeTimeout);
+        if (!isOk(connected))
+            co_return StoreFailure::Unavailable;
+        watchConnection_ = connection;
+        watchedPeer_ = peer;
+    }
+    PeerMessage question;
+    question.revision = after;
+    transport::HttpRequest request("POST", WatchTarget, encodePeerMessage(question));
+    const auto response = co_await connection->send(std::move(request), wait + ExchangeTimeout);
+    if (!isOk(response))
+        co_return StoreFailure::Unavailable;
+    const auto message = decodePeerMessage(valueOf(response).body);
+    if (!isOk(message))
+        co_return StoreFailure::Malformed;
+    co_return valueOf(message).delta.value_or(state::RecordDelta{});
+}
+
+asio::awaitable<transport::HttpResponse> PeerExchange::answerWatch(transport::HttpRequest request)
+{
+    const auto decoded = decodePeerMessage(request.body);
+    if (!isOk(decoded))
+        co_return transport::HttpResponse(400, "{}");
+    const auto after = valueOf(decoded).revision;
+    const auto until = runtime_.clock().now() + PeerWatchTime;
+    const auto watcher =
+            std::make_shared<transport::OneShot>(co_await asio::this_coro::executor);
+    watchers_.insert(watcher);
+    while (follower_.mirror().revision() <= after && runtime_.clock().now() < until)
+        co_await watcher->waitUntil(until);
+    watchers_.erase(watcher);
+    PeerMessage reply;
+    reply.revision = follower_.mirror().revision();
+    if (reply.revision > after)
+        reply.delta = follower_.mirror().deltaSince(after);
+    co_return transport::HttpResponse(200, encodePeerMessage(reply));
+}
+
+std::vector<std::string> PeerExchange::choosePeers(std::size_t count) const
 {
     static std::mt19937_64 random{std::random_device{}()};
     auto peers = membership_.livePeers();
     std::shuffle(peers.begin(), peers.end(), random);
-    if (peers.size() > FanOut)
-        peers.resize(FanOut);
+    if (peers.size() > count)
+        peers.resize(count);
     // Seeds join hosts that lost sight of each other.
     const auto live = membership_.livePeers();
     for (const auto &seed : seeds_) {
@@ -83,10 +142,15 @@
     return peers;
 }
 
-PeerMessage PeerExchange::makeMessage(const std::string &peer) const
+PeerMessage PeerExchange::makeMessage(const std::string &peer, std::uint64_t peerDigest) const
 {
     PeerMessage message;
-    message.rows = membership_.rowsFor(peer);
+    message.digest = membership_.digest();
+    if (peerDigest == message.digest)
+        message.rows.push_back(membership_.self());
+    else
+        message.rows = membership_.rowsFor(peer);
+    message.heartbeats = membership_.heartbeats();
     message.revision = follower_.mirror().revision();
     message.wantsRecords = follower_.needsPeers();
     return message;
@@ -123,7 +187,9 @@
             co_return false;
         }
     }
-    transport::HttpRequest request("POST", ExchangeTarget, encodePeerMessage(makeMessage(peer)));
+    const auto known = peerStates_[peer];
+    const auto question = makeMessage(peer, known.digest);
+    transport::HttpRequest request("POST", ExchangeTarget, encodePeerMessage(question));
     const auto response = co_await link->connection->send(std::move(request), ExchangeTimeout);
     if (!isOk(response)) {
         noteFailure(peer, *link, errorOf(response).message);
@@ -152,6 +218,8 @@
 
 asio::awaitable<transport::HttpResponse> PeerExchange::answer(transport::HttpRequest request)
 {
+    if (request.target == WatchTarget)
+        co_return co_await answerWatch(std::move(request));
     const auto decoded = decodePeerMessage(request.body);
     if (!isOk(decoded)) {
         transport::logWarning(Part, "exchange refused", {{"reason", errorOf(decoded).message}});
@@ -159,7 +227,8 @@
     }
     const auto &message = valueOf(decoded);
     take(message);
-    auto reply = makeMessage(message.rows.empty() ? "" : message.rows.front().control);
+    const auto asker = message.rows.empty() ? std::string() : message.rows.front().control;
+    auto reply = makeMessage(asker, message.digest);
     if (message.wantsRecords && reply.revision > message.revision)
         reply.delta = follower_.mirror().deltaSince(message.revision);
     co_return transport::HttpResponse(200, encodePeerMessage(reply));
@@ -172,6 +241,9 @@
                            {{"live", std::to_string(membership_.liveCount())}});
         onMembership_();
     }
+    membership_.merge(message.heartbeats, runtime_.clock().now());
+    if (!message.rows.empty())
+        peerStates_[message.rows.front().control] = {message.revision, message.digest};
     if (message.delta)
         follower_.takeFromPeer(*message.delta);
     follower_.notePeerRevision(message.revision);
--- a/coordination/peer_exchange.h
+++ b/coordination/peer_exchange.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -15,8 +16,11 @@
 /// What one host tells another.
 struct PeerMessage
 {
-    /// Rows of hosts, the sender's first.
+    /// Rows of hosts, the sender's first; only the sender's when the receiver holds the same rows.
     std::vector<state::EntryRow> rows;
+    std::vector<state::Heartbeat> heartbeats;
+    /// EntryMembership::digest() of the sender.
+    std::uint64_t digest = 0;
     /// Revision up to which the sender knows the platform's store.
     std::uint64_t revision = 0;
     /// Whether the sender asks for records after its revision.
@@ -57,6 +61,13 @@
     /// Tells all live hosts at once, for example that this one leaves.
     void announce();
 
+    /// Waits for what the copy of @p peer has beyond a revision.
+    boost::asio::awaitable<Result<state::RecordDelta, StoreFailure>>
+    watchPeer(std::string peer, std::uint64_t after, std::chrono::milliseconds wait);
+
+    /// Wakes the hosts that wait for news of this one's copy.
+    void wakeWatchers();
+
 private:
     struct Link
     {
@@ -70,8 +81,9 @@
     boost::asio::awaitable<void> ask(std::string peer);
     boost::asio::awaitable<bool> askOnce(std::string peer, std::shared_ptr<Link> link);
     boost::asio::awaitable<transport::HttpResponse> answer(transport::HttpRequest request);
-    std::vector<std::string> choosePeers();
-    PeerMessage makeMessage(const std::string &peer) const;
+    boost::asio::awaitable<transport::HttpResponse> answerWatch(transport::HttpRequest request);
+    std::vector<std::string> choosePeers(std::size_t count) const;
+    PeerMessage makeMessage(const std::string &peer, std::uint64_t peerDigest) const;
     void take(const PeerMessage &message);
     void noteFailure(const std::string &peer, Link &link, const std::string &reason);
 
@@ -82,6 +94,17 @@
     transport::HttpServer server_;
     std::vector<std::string> seeds_;
     std::map<std::string, std::shared_ptr<Link>> links_;
+    /// What each peer said of itself last.
+    struct PeerState
+    {
+        std::uint64_t revision = 0;
+        std::uint64_t digest = 0;
+    };
+    std::map<std::string, PeerState> peerStates_;
+    std::set<std::shared_ptr<transport::OneShot>> watchers_;
+    /// Connection to the host whose copy is followed.
+    std::shared_ptr<transport::HttpConnection> watchConnection_;
+    std::string watchedPeer_;
 };
 
 } // namespace persimmon::coordination
--- a/coordination/peer_message.cpp
+++ b/coordination/peer_message.cpp
@@ -9,9 +9,20 @@
 namespace {
 
 /// Columns of a row of a host.
-enum RowColumn { Control, Front, Domain, Region, Incarnation, Heartbeat, Phase, RowColumnCount };
+enum RowColumn {
+    Control,
+    Front,
+    Domain,
+    Region,
+    Incarnation,
+    Heartbeat,
+    Phase,
+    StoreLost,
+    Capacity,
+    Load,
+};
 /// Columns of a record of the store; the value is absent for a deleted key.
-enum RecordColumn { Key, Revision, Value, RecordColumnCount };
+enum RecordColumn { Key, Revision, Value };
 
 state::EntryRow readRow(const json::array &columns)
 {
@@ -24,9 +35,25 @@
     row.heartbeat = columns.at(Heartbeat).to_number<std::uint64_t>();
     const auto phase = columns.at(Phase).to_number<std::size_t>();
     row.phase = state::EntryPhaseNames.at(phase).value;
+    row.storeLost = columns.at(StoreLost).to_number<int>() != 0;
+    row.capacity = columns.at(Capacity).to_number<std::uint32_t>();
+    row.load = columns.at(Load).to_number<std::uint32_t>();
     return row;
 }
 
+/// @param numbers host, heartbeat and load of each host, one after the other.
+std::vector<state::Heartbeat> readHeartbeats(const json::array &numbers)
+{
+    constexpr std::size_t Columns = 3;
+    std::vector<state::Heartbeat> heartbeats;
+    for (std::size_t at = 0; at + Columns <= numbers.size(); at += Columns) {
+        heartbeats.push_back({numbers[at].to_number<std::uint32_t>(),
+                              numbers[at + 1].to_number<std::uint64_t>(),
+                              numbers[at + 2].to_number<std::uint32_t>()});
+    }
+    return heartbeats;
+}
+
 state::StoreRecord readRecord(const json::array &columns)
 {
     state::StoreRecord record;
@@ -45,9 +72,16 @@
     for (const auto &row : message.rows) {
         rows.push_back(json::array{row.control, row.front, row.failureDomain, row.region,
                                    row.incarnation, row.heartbeat,
-                                   static_cast<std::uint64_t>(row.phase)});
+                                   static_cast<std::uint64_t>(row.phase), row.storeLost ? 1 : 0,
+                                   row.capacity, row.load});
     }
-    json::object text{{"rows", std::move(rows)}, {"revision", message.revision}};
+    json::array heartbeats;
+    for (const auto &row : message.heartbeats)
+        heartbeats.insert(heartbeats.end(), {row.host, row.heartbeat, row.load});
+    json::object text{{"rows", std::move(rows)},
+                      {"beats", std::move(heartbeats)},
+                      {"digest", message.digest},
+                      {"revision", message.revision}};
     if (message.wantsRecords)
         text["wants_records"] = true;
     if (message.delta) {
@@ -72,6 +106,8 @@
         const auto &object = parsed.as_object();
         message.revision = object.at("revision").to_number<std::uint64_t>();
         message.wantsRecords = object.contains("wants_records");
+        message.digest = object.at("digest").to_number<std::uint64_t>();
+        message.heartbeats = readHeartbeats(object.at("beats").as_array());
         for (const auto &row : object.at("rows").as_array())
             message.rows.push_back(readRow(row.as_array()));
         if (const auto *records = object.if_contains("records")) {
--- a/coordination/record_follower.cpp
+++ b/coordination/record_follower.cpp
@@ -2,6 +2,8 @@
 
 #include "coordination/jitter.h"
 
+#include <algorithm>
+
 namespace asio = boost::asio;
 
 namespace persimmon::coordination {
@@ -12,16 +14,25 @@
 /// Longest wait of one watch. A connection that fell silent is noticed after it, which must leave
 /// time to apply a configuration within its bound.
 constexpr std::chrono::milliseconds WatchTime{4000};
-constexpr std::chrono::milliseconds LeastRetry{150};
-constexpr std::chrono::milliseconds MostRetry{400};
+constexpr std::chrono::milliseconds LeastRetry{100};
+constexpr std::chrono::milliseconds MostRetry{200};
+/// The pause after a failed call doubles this often, up to 1.6 s.
+constexpr int MostDoublings = 3;
+/// Changes that follow each other within this time come with one call.
+constexpr std::chrono::milliseconds CoalesceTime{120};
+constexpr std::chrono::milliseconds FirstDelay{300};
+/// A host that neither peers nor the store have told anything reads the store itself.
+constexpr std::chrono::milliseconds LongestStart{2500};
 /// A watch delivers a change within this time of the first host that knows of it.
 constexpr std::chrono::milliseconds BehindTime{700};
 
 } // namespace
 
-RecordFollower::RecordFollower(transport::Runtime &runtime, StoreHooks hooks, OnNews onNews)
+RecordFollower::RecordFollower(transport::Runtime &runtime, StoreHooks store, PeerHooks peers,
+                               OnNews onNews)
     : runtime_(runtime),
-      hooks_(std::move(hooks)),
+      store_(std::move(store)),
+      peers_(std::move(peers)),
       onNews_(std::move(onNews))
 {
 }
@@ -33,15 +44,48 @@
 
 asio::awaitable<void> RecordFollower::run()
 {
+    // The hosts hear of each other first, so that only some of them read.
+    co_await runtime_.clock().sleep(jitter(FirstDelay, FirstDelay * 2));
+    const auto start = runtime_.clock().now();
+    int failures = 0;
     while (true) {
+        const bool late = !isLoaded() && runtime_.clock().now() - start > LongestStart;
+        const auto source = peers_.source();
         bool ok = false;
-        if (needsSnapshot_)
+        if (!source.readsStore && !late)
+            ok = co_await followPeer(source.peer);
+        else if (needsSnapshot_)
             ok = co_await readAll();
         else
             ok = co_await watchOnce();
-        if (!ok)
-            co_await runtime_.clock().sleep(jitter(LeastRetry, MostRetry));
+        failures = ok ? 0 : failures + 1;
+        const auto pause = jitter(LeastRetry, MostRetry) * (1 << std::min(failures, MostDoublings));
+        co_await runtime_.clock().sleep(ok ? CoalesceTime : pause);
+    }
+}
+
+asio::awaitable<bool> RecordFollower::followPeer(std::string peer)
+{
+    if (peer != peer_) {
+        transport::logInfo(Part, "records come from another host",
+                           {{"host", peer}, {"revision", std::to_string(mirror_.revision())}});
+        peer_ = peer;
+        leaveStore();
     }
+    auto result = co_await peers_.watch(peer, mirror_.revision(), WatchTime);
+    if (!isOk(result))
+        co_return false;
+    takeFromPeer(valueOf(result));
+    co_return true;
+}
+
+void RecordFollower::leaveStore()
+{
+    if (!connected_)
+        return;
+    connected_ = false;
+    tried_ = false;
+    store_.reset();
 }
 
 asio::awaitable<bool> RecordFollower::readAll()
@@ -51,7 +95,7 @@
     std::string after;
     bool more = true;
     while (more) {
-        auto result = co_await hooks_.readPage(after);
+        auto result = co_await store_.readPage(after);
         if (!isOk(result)) {
             setConnected(false, errorOf(result));
             co_return false;
@@ -78,7 +122,7 @@
 
 asio::awaitable<bool> RecordFollower::watchOnce()
 {
-    auto result = co_await hooks_.watch(mirror_.revision(), WatchTime);
+    auto result = co_await store_.watch(mirror_.revision(), WatchTime);
     if (!isOk(result)) {
         needsSnapshot_ = errorOf(result) == StoreFailure::HistoryGone;
         setConnected(false, errorOf(result));
@@ -96,6 +140,7 @@
 
 void RecordFollower::setConnected(bool connected, StoreFailure reason)
 {
+    peer_.clear();
     if (connected == connected_ && tried_)
         return;
     connected_ = connected;
@@ -127,7 +172,7 @@
 void RecordFollower::notePeerRevision(std::uint64_t revision)
 {
     peerRevision_ = std::max(peerRevision_, revision);
-    if (revision <= mirror_.revision() || !connected_)
+    if (revision <= mirror_.revision())
         return;
     const auto now = runtime_.clock().now();
     if (!behind_) {
@@ -141,7 +186,8 @@
                           {{"revision", std::to_string(mirror_.revision())},
                            {"peer_revision", std::to_string(revision)}});
     behindSince_ = now;
-    hooks_.reset();
+    if (connected_)
+        store_.reset();
 }
 
 } // namespace persimmon::coordination
--- a/coordination/record_follower.h
+++ b/coordination/record_follower.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/coordination_error.h"
+#include "state/entry_membership.h"
 #include "state/record_mirror.h"
 #include "transport/transport.h"
 
@@ -54,6 +55,17 @@
     std::function<void()> reset;
 };
 
+/// How the copies of other hosts are followed.
+struct PeerHooks
+{
+    /// @return where this host learns what the store holds.
+    std::function<state::StoreSource()> source;
+    /// Waits for what the copy of a peer has beyond a revision.
+    std::function<boost::asio::awaitable<Result<state::RecordDelta, StoreFailure>>(
+            std::string peer, std::uint64_t after, std::chrono::milliseconds wait)>
+            watch;
+};
+
 /// Keeps a RecordMirror up to date with one watch of the store, and with what peers pass on while
 /// the store cannot be reached. For one-thread runtimes only.
 class RecordFollower
@@ -61,7 +73,7 @@
 public:
     using OnNews = std::function<void(const std::vector<state::StoreRecord> &)>;
 
-    RecordFollower(transport::Runtime &runtime, StoreHooks hooks, OnNews onNews);
+    RecordFollower(transport::Runtime &runtime, StoreHooks store, PeerHooks peers, OnNews onNews);
 
     void start();
 
@@ -72,7 +84,10 @@
     void notePeerRevision(std::uint64_t revision);
 
     /// @return whether peers should pass on what they have.
-    bool needsPeers() const { return (tried_ && !connected_) || behind_; }
+    bool needsPeers() const { return isStoreLost() || behind_ || !isLoaded(); }
+
+    /// @return whether the store was tried and did not answer.
+    bool isStoreLost() const { return tried_ && !connected_; }
 
     /// @return whether a first complete read, or a peer's records, have arrived.
     bool isLoaded() const { return mirror_.revision() > 0; }
@@ -83,13 +98,18 @@
     boost::asio::awaitable<void> run();
     boost::asio::awaitable<bool> readAll();
     boost::asio::awaitable<bool> watchOnce();
+    boost::asio::awaitable<bool> followPeer(std::string peer);
     void setConnected(bool connected, StoreFailure reason);
+    void leaveStore();
 
     transport::Runtime &runtime_;
-    const StoreHooks hooks_;
+    const StoreHooks store_;
+    const PeerHooks peers_;
     const OnNews onNews_;
     state::RecordMirror mirror_;
     bool connected_ = false;
+    /// Host whose copy is followed; empty while the store is read.
+    std::string peer_;
     /// Whether a first call has ended.
     bool tried_ = false;
     bool needsSnapshot_ = true;
--- a/forward/request_forwarder.cpp
+++ b/forward/request_forwarder.cpp
@@ -96,7 +96,7 @@
     {
         explicit Wait(const asio::any_io_executor &executor) : event(executor) {}
 
-        OneShot event;
+        transport::OneShot event;
         std::optional<state::SubReply> reply;
     };
     const auto service = splits_[call.route->name].next(call.route->targets);
@@ -162,7 +162,7 @@
         {
         }
 
-        OneShot event;
+        transport::OneShot event;
         state::GatherRun run;
         std::vector<Pending> pending;
     };
--- a/forward/request_forwarder.h
+++ b/forward/request_forwarder.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "forward/one_shot.h"
 #include "forward/service_set.h"
 
 #include <cstdint>
--- a/host/host_daemon.cpp
+++ b/host/host_daemon.cpp
@@ -69,7 +69,13 @@
       pool_(runtime, metrics_, hooks_.headers),
       services_(context_, registry_, options_.limits),
       forwarder_(runtime, metrics_, pool_, services_, forwarderOptions(options_, hooks_)),
-      follower_(runtime, hooks_.store, [this](const auto &news) { onNews(news); }),
+      follower_(
+              runtime, hooks_.store,
+              {[this] { return state::storeSourceOf(membership_.liveRows(), options_.control); },
+               [this](std::string peer, std::uint64_t after, std::chrono::milliseconds wait) {
+                   return exchange_.watchPeer(std::move(peer), after, wait);
+               }},
+              [this](const auto &news) { onNews(news); }),
       exchange_(runtime, membership_, follower_, [this] { onMembership(); }),
       front_(runtime, hooks_.headers,
              [this](auto request, auto watch) {
@@ -134,6 +140,7 @@
     }
     services_.refresh(changed);
     updatePhase();
+    exchange_.wakeWatchers();
 }
 
 void HostDaemon::take(const state::RoutingConfig &config, std::set<std::string> & /*changed*/)
@@ -225,6 +232,7 @@
         clockOffset_ = offset;
         last = now;
         services_.refresh(registry_.expire(now));
+        membership_.setStoreLost(follower_.isStoreLost());
     }
 }
 
--- a/state/entry_membership.cpp
+++ b/state/entry_membership.cpp
@@ -1,10 +1,17 @@
 #include "state/entry_membership.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <functional>
 
 namespace persimmon::state {
 
+std::uint32_t hostId(const std::string &control)
+{
+    return XXH32(control.data(), control.size(), 0);
+}
+
 EntryMembership::EntryMembership(EntryRow self) : self_(std::move(self)) {}
 
 void EntryMembership::setPhase(EntryPhase phase)
@@ -43,6 +50,42 @@
     return changed;
 }
 
+void EntryMembership::merge(const std::vector<Heartbeat> &heartbeats, TimePoint now)
+{
+    std::map<std::uint32_t, const Heartbeat *> byHost;
+    for (const auto &row : heartbeats)
+        byHost[row.host] = &row;
+    for (auto &[control, peer] : peers_) {
+        const auto found = byHost.find(hostId(control));
+        if (!peer.live || found == byHost.end() || found->second->heartbeat <= peer.row.heartbeat)
+            continue;
+        peer.row.heartbeat = found->second->heartbeat;
+        peer.row.load = found->second->load;
+        peer.heardAt = now;
+    }
+}
+
+std::uint64_t EntryMembership::digest() const
+{
+    std::map<std::string, std::string> texts;
+    for (const auto &row : liveRows()) {
+        texts[row.control] = row.front + "|" + std::to_string(row.incarnation) + "|"
+                + std::to_string(static_cast<int>(row.phase)) + (row.storeLost ? "|lost" : "|");
+    }
+    std::string all;
+    for (const auto &[control, text] : texts)
+        all.append(control).append(text);
+    return XXH64(all.data(), all.size(), 0);
+}
+
+std::vector<Heartbeat> EntryMembership::heartbeats() const
+{
+    std::vector<Heartbeat> heartbeats;
+    for (const auto &row : liveRows())
+        heartbeats.push_back({hostId(row.control), row.heartbeat, row.load});
+    return heartbeats;
+}
+
 bool EntryMembership::expire(TimePoint now)
 {
     bool died = false;
@@ -98,6 +141,40 @@
     return position;
 }
 
+StoreSource storeSourceOf(const std::vector<EntryRow> &rows, const std::string &self)
+{
+    // Hosts of each region that can pass records on, in an order that all agree on.
+    std::map<std::string, std::vector<std::string>> byRegion;
+    std::string ownRegion;
+    for (const auto &row : rows) {
+        if (row.control == self && row.storeLost)
+            return {true, {}};
+        if (row.control == self)
+            ownRegion = row.region;
+        if (!row.storeLost && row.phase != EntryPhase::Leaving)
+            byRegion[row.region].push_back(row.control);
+    }
+    std::vector<std::string> readers;
+    for (std::size_t rank = 0; readers.size() < StoreReaders && rank < rows.size(); ++rank) {
+        for (auto &[region, hosts] : byRegion) {
+            if (rank == 0)
+                std::sort(hosts.begin(), hosts.end());
+            if (rank < hosts.size() && readers.size() < StoreReaders)
+                readers.push_back(hosts[rank]);
+        }
+    }
+    if (std::find(readers.begin(), readers.end(), self) != readers.end())
+        return {true, {}};
+    const auto &hosts = byRegion[ownRegion];
+    const auto rank = static_cast<std::size_t>(std::find(hosts.begin(), hosts.end(), self)
+                                               - hosts.begin());
+    if (rank == hosts.size() && !hosts.empty())
+        return {false, hosts.front()};
+    if (rank > 0 && rank < hosts.size())
+        return {false, hosts[(rank - 1) / StoreFollowers]};
+    return readers.empty() ? StoreSource{true, {}} : StoreSource{false, readers.front()};
+}
+
 std::vector<EntryRow> chooseEntries(const std::vector<EntryRow> &entries,
                                     const std::string &callerRegion,
                                     const std::vector<std::string> &servingRegions,
--- a/state/entry_membership.h
+++ b/state/entry_membership.h
@@ -34,10 +34,30 @@
     /// Rises while the host lives.
     std::uint64_t heartbeat = 0;
     EntryPhase phase = EntryPhase::Starting;
+    /// Whether the host tried to read the platform's store and cannot.
+    bool storeLost = false;
+    /// Sub-requests per second that the host is built for.
+    std::uint32_t capacity = 1;
+    /// Sub-requests per second that it executes.
+    std::uint32_t load = 0;
 
     bool operator==(const EntryRow &) const = default;
 };
 
+/// The part of a row that changes all the time.
+struct Heartbeat
+{
+    /// See hostId().
+    std::uint32_t host = 0;
+    std::uint64_t heartbeat = 0;
+    std::uint32_t load = 0;
+
+    bool operator==(const Heartbeat &) const = default;
+};
+
+/// @return short id of a host within one system.
+std::uint32_t hostId(const std::string &control);
+
 /// The hosts of the system by heartbeats that spread from host to host.
 class EntryMembership
 {
@@ -52,11 +72,23 @@
     /// Advances the heartbeat of this host.
     void beat() { ++self_.heartbeat; }
     void setPhase(EntryPhase phase);
+    void setStoreLost(bool lost) { self_.storeLost = lost; }
+    void setLoad(std::uint32_t load) { self_.load = load; }
 
     /// Takes rows that a peer knows.
     /// @return whether a host appeared, changed its phase or started anew.
     bool merge(const std::vector<EntryRow> &rows, TimePoint now);
 
+    /// Takes heartbeats from a peer that holds the same rows.
+    void merge(const std::vector<Heartbeat> &heartbeats, TimePoint now);
+
+    /// @return hash over all that the rows of the live hosts say beside heartbeats and loads. Two hosts
+    ///         with the same digest exchange only heartbeats.
+    std::uint64_t digest() const;
+
+    /// @return heartbeats of this host and of all live ones.
+    std::vector<Heartbeat> heartbeats() const;
+
     /// Notes the hosts whose heartbeat stood still too long, and forgets old ones.
     /// @return whether a host was found dead.
     bool expire(TimePoint now);
@@ -94,6 +126,29 @@
     std::map<std::string, Peer> peers_;
 };
 
+/// Where a host learns what the platform's store holds.
+struct StoreSource
+{
+    bool readsStore = false;
+    /// Host whose copy is followed otherwise.
+    std::string peer;
+
+    bool operator==(const StoreSource &) const = default;
+};
+
+/// Decides where a host learns what the platform's store holds, so that the calls to the store do not
+/// grow with the number of hosts. A few hosts read the store, one in each region if possible. The
+/// others follow a host of their region, each at most StoreFollowers of them.
+/// @param rows live hosts.
+/// @param self control address of this host.
+/// @return the source. A host that lost the store goes on trying, and another takes its turn.
+StoreSource storeSourceOf(const std::vector<EntryRow> &rows, const std::string &self);
+
+/// Hosts that read the store. Three let two be lost or cut off at the same time.
+inline constexpr std::size_t StoreReaders = 3;
+/// Hosts that follow one copy. A region of 1,000 hosts is then four steps deep.
+inline constexpr std::size_t StoreFollowers = 8;
+
 /// Chooses the hosts that a caller is told of.
 /// @param entries live hosts.
 /// @param callerRegion region of the caller.
--- /dev/null
+++ b/tests/coordination/test_peer_message.cpp
@@ -0,0 +1,65 @@
+#include "coordination/coordination.h"
+
+#include <doctest/doctest.h>
+
+#include <random>
+
+using namespace persimmon;
+using namespace persimmon::coordination;
+
+namespace {
+
+PeerMessage makeMessage()
+{
+    PeerMessage message;
+    state::EntryRow row;
+    row.control = "127.0.0.1:1";
+    row.front = "127.0.0.1:2";
+    row.failureDomain = "d";
+    row.region = "r";
+    row.incarnation = 1'769'983'330'035ULL;
+    row.heartbeat = 12;
+    row.phase = state::EntryPhase::Leaving;
+    row.storeLost = true;
+    row.capacity = 1250;
+    row.load = 17;
+    message.rows = {row, row};
+    message.heartbeats = {{0xffffffffU, 7, 3}};
+    message.digest = ~0ULL;
+    message.revision = 42;
+    message.wantsRecords = true;
+    message.delta = state::RecordDelta{{{"a", 41, "YQ=="}, {"b", 42, std::nullopt}}, 42, true};
+    return message;
+}
+
+} // namespace
+
+TEST_CASE("messages between hosts are read as they were written")
+{
+    auto message = makeMessage();
+    auto decoded = decodePeerMessage(encodePeerMessage(message));
+    REQUIRE(isOk(decoded));
+    CHECK(valueOf(decoded) == message);
+    message.delta.reset();
+    message.wantsRecords = false;
+    message.rows.clear();
+    decoded = decodePeerMessage(encodePeerMessage(message));
+    REQUIRE(isOk(decoded));
+    CHECK(valueOf(decoded) == message);
+}
+
+TEST_CASE("a damaged message between hosts is refused")
+{
+    // Guards against a decoder that throws, or that takes a phase which does not exist.
+    const auto text = encodePeerMessage(makeMessage());
+    std::mt19937 random(1);
+    for (int i = 0; i < 10'000; ++i) {
+        auto damaged = text;
+        damaged[random() % damaged.size()] = static_cast<char>(random() % 256);
+        if (random() % 4 == 0)
+            damaged.resize(random() % damaged.size());
+        decodePeerMessage(damaged);
+    }
+    CHECK_FALSE(isOk(decodePeerMessage("")));
+    CHECK_FALSE(isOk(decodePeerMessage(R"({"rows":[["a"]],"beats":[],"digest":0,"revision":1})")));
+}
--- a/tests/state/test_entry_membership.cpp
+++ b/tests/state/test_entry_membership.cpp
@@ -2,7 +2,9 @@
 
 #include <doctest/doctest.h>
 
+#include <map>
 #include <random>
+#include <set>
 
 using namespace persimmon;
 using namespace persimmon::state;
@@ -140,3 +142,76 @@
             CHECK(host.liveCount() == hosts.size());
     }
 }
+
+TEST_CASE("a few hosts read the store and all others reach one of them")
+{
+    // Guards against calls that grow with the number of hosts, and against hosts that follow each
+    // other in a circle.
+    for (std::size_t count : {1, 2, 6, 68, 500}) {
+        std::vector<EntryRow> rows;
+        for (std::size_t i = 0; i < count; ++i)
+            rows.push_back(makeRow("h" + std::to_string(i), "r" + std::to_string(i % 3)));
+        std::map<std::string, StoreSource> sources;
+        for (const auto &row : rows)
+            sources[row.control] = storeSourceOf(rows, row.control);
+        std::size_t readers = 0;
+        std::map<std::string, std::size_t> followers;
+        for (const auto &[name, source] : sources) {
+            readers += source.readsStore ? 1 : 0;
+            if (!source.readsStore)
+                ++followers[source.peer];
+            auto at = name;
+            std::size_t steps = 0;
+            while (!sources.at(at).readsStore && steps <= count) {
+                at = sources.at(at).peer;
+                ++steps;
+            }
+            CHECK(steps <= 5);
+        }
+        CHECK(readers == std::min(count, StoreReaders));
+        for (const auto &[name, number] : followers)
+            CHECK(number <= StoreFollowers);
+    }
+}
+
+TEST_CASE("another host reads the store in place of one that lost it")
+{
+    // Guards against a region that hears nothing because its reader is turned away by the store.
+    std::vector<EntryRow> rows{makeRow("a", "r1"), makeRow("b", "r1"), makeRow("c", "r2")};
+    rows.push_back(makeRow("d", "r1"));
+    rows.push_back(makeRow("e", "r2"));
+    CHECK(storeSourceOf(rows, "a").readsStore);
+    CHECK(storeSourceOf(rows, "d") == StoreSource{false, "a"});
+    rows[0].storeLost = true;
+    CHECK(storeSourceOf(rows, "a").readsStore);
+    CHECK(storeSourceOf(rows, "b").readsStore);
+    CHECK(storeSourceOf(rows, "d").readsStore);
+    for (auto &row : rows)
+        row.storeLost = true;
+    for (const auto &row : rows)
+        CHECK(storeSourceOf(rows, row.control).readsStore);
+    // One that leaves follows, and is followed by nobody.
+    rows = {makeRow("a", "r1", EntryPhase::Leaving), makeRow("b", "r1"), makeRow("c", "r1")};
+    CHECK(storeSourceOf(rows, "a") == StoreSource{false, "b"});
+}
+
+TEST_CASE("hosts that hold the same rows keep each other alive by heartbeats alone")
+{
+    // Guards against a digest that differs for the same rows, and against heartbeats that revive a
+    // dead host.
+    EntryMembership a(makeRow("a"));
+    EntryMembership b(makeRow("b"));
+    a.merge({makeRow("b"), makeRow("c")}, Start);
+    b.merge({makeRow("c"), makeRow("a")}, Start);
+    CHECK(a.digest() == b.digest());
+    b.beat();
+    CHECK(a.digest() == b.digest());
+    a.merge(b.heartbeats(), Start + seconds(3));
+    a.expire(Start + seconds(4));
+    CHECK(namesOf(a.liveRows()) == Names{"a", "b"});
+    CHECK(a.digest() != b.digest());
+    a.merge(b.heartbeats(), Start + seconds(5));
+    CHECK(namesOf(a.liveRows()) == Names{"a", "b"});
+    b.setPhase(EntryPhase::Leaving);
+    CHECK(a.merge({b.self()}, Start + seconds(5)));
+}
--- a/forward/one_shot.h
+++ b/transport/one_shot.h
@@ -1,12 +1,12 @@
 #pragma once
 
-#include "transport/transport.h"
+#include "transport/clock.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-namespace persimmon::forward {
+namespace persimmon::transport {
 
 /// Lets one coroutine wait for an event or a time. For one-thread runtimes only.
 class OneShot
@@ -22,7 +22,7 @@
     }
 
     /// Suspends until notify() or @p until.
-    boost::asio::awaitable<void> waitUntil(transport::TimePoint until)
+    boost::asio::awaitable<void> waitUntil(TimePoint until)
     {
         if (!notified_) {
             timer_.expires_at(until);
@@ -36,4 +36,4 @@
     bool notified_ = false;
 };
 
-} // namespace persimmon::forward
+} // namespace persimmon::transport
--- a/transport/transport.h
+++ b/transport/transport.h
@@ -12,6 +12,7 @@
 #include "transport/log.h"
 #include "transport/log_writer.h"
 #include "transport/metrics.h"
+#include "transport/one_shot.h"
 #include "transport/rpc_client.h"
 #include "transport/rpc_service.h"
 #include "transport/runtime.h"
