Tell callers of the active hosts only

Cause: on the grown site each of 62 hosts served a request a second over 270 upstreams: nearly every sub-request opened a connection, and no host learned which upstreams are slow.

Change: activeEntries() names two hosts of each failure domain, the largest first, and more until twice the load fits their capacity. The directory names those, and limits that hosts share are divided among them; a host beside them adds next to nothing. Hosts report their load with heartbeats.

Tests: the same choice on all hosts, growth with the load, parts of limits.

--- a/forward/request_forwarder.h
+++ b/forward/request_forwarder.h
@@ -32,6 +32,9 @@
     /// @return the configuration in force, or null.
     const std::shared_ptr<const state::RouteTable> &routes() const { return routes_; }
 
+    /// @return number of sub-requests that were made since the start.
+    std::uint64_t subRequests() const { return nextId_ - 1; }
+
     /// Serves one request.
     /// @param watch tells when the caller is gone; its hook is set here.
     boost::asio::awaitable<FrontAnswer> serve(std::shared_ptr<const ForwardRequest> request,
--- a/host/host_daemon.cpp
+++ b/host/host_daemon.cpp
@@ -17,6 +17,10 @@
 constexpr double IdlePartOfGrace = 0.6;
 /// Part of the grace time after which the program ends in any case.
 constexpr double LongestPartOfGrace = 0.92;
+/// Sub-requests per second that one core executes; docs/CAPACITY.md has the measurement.
+constexpr double SubRequestsPerCore = 8000;
+/// Ticks between two looks at the load.
+constexpr int TicksPerLoad = 4;
 /// A tick that comes this much too late means that the process did not run.
 constexpr std::chrono::milliseconds PauseLimit{1000};
 
@@ -45,6 +49,8 @@
     row.failureDomain = options.failureDomain;
     row.region = options.region;
     row.incarnation = makeIncarnation();
+    row.capacity = std::max<std::uint32_t>(
+            1, static_cast<std::uint32_t>(options.cores * SubRequestsPerCore));
     return row;
 }
 
@@ -69,13 +75,12 @@
       pool_(runtime, metrics_, hooks_.headers),
       services_(context_, registry_, options_.limits),
       forwarder_(runtime, metrics_, pool_, services_, forwarderOptions(options_, hooks_)),
-      follower_(
-              runtime, hooks_.store,
-              {[this] { return state::storeSourceOf(membership_.liveRows(), options_.control); },
-               [this](std::string peer, std::uint64_t after, std::chrono::milliseconds wait) {
-                   return exchange_.watchPeer(std::move(peer), after, wait);
-               }},
-              [this](const auto &news) { onNews(news); }),
+      follower_(runtime, hooks_.store,
+                {[this] { return state::storeSourceOf(membership_.liveRows(), options_.control); },
+                 [this](std::string peer, std::uint64_t after, std::chrono::milliseconds wait) {
+                     return exchange_.watchPeer(std::move(peer), after, wait);
+                 }},
+                [this](const auto &news) { onNews(news); }),
       exchange_(runtime, membership_, follower_, [this] { onMembership(); }),
       front_(runtime, hooks_.headers,
              [this](auto request, auto watch) {
@@ -192,9 +197,14 @@
 
 void HostDaemon::onMembership()
 {
+    const auto active = state::activeEntries(membership_.liveRows());
     state::HostShare share;
-    share.hosts = membership_.liveCount();
-    share.position = membership_.position();
+    share.hosts = std::max<std::uint32_t>(1, static_cast<std::uint32_t>(active.size()));
+    share.position.reset();
+    for (std::size_t index = 0; index < active.size(); ++index) {
+        if (active[index].control == options_.control)
+            share.position = static_cast<std::uint32_t>(index);
+    }
     share.region = options_.region;
     services_.setShare(share);
 }
@@ -211,11 +221,13 @@
     transport::logInfo(Part, "phase changed",
                        {{"phase", std::string(enumName(state::EntryPhaseNames, phase))}});
     exchange_.announce();
+    onMembership();
 }
 
 asio::awaitable<void> HostDaemon::tick()
 {
     auto last = runtime_.clock().now();
+    int ticks = 0;
     while (true) {
         co_await runtime_.clock().sleep(TickInterval);
         const auto now = runtime_.clock().now();
@@ -233,9 +245,22 @@
         last = now;
         services_.refresh(registry_.expire(now));
         membership_.setStoreLost(follower_.isStoreLost());
+        if (++ticks % TicksPerLoad == 0)
+            updateLoad();
     }
 }
 
+void HostDaemon::updateLoad()
+{
+    const auto started = forwarder_.subRequests();
+    constexpr auto Interval = std::chrono::duration<double>(TickInterval * TicksPerLoad);
+    const auto rate = static_cast<double>(started - countedSubRequests_) / Interval.count();
+    countedSubRequests_ = started;
+    membership_.setLoad(static_cast<std::uint32_t>(rate));
+    // The set of active hosts follows the load.
+    onMembership();
+}
+
 std::vector<std::string> HostDaemon::servingRegions(const std::string &host) const
 {
     std::map<std::string, std::size_t> shards;
--- a/host/host_daemon.h
+++ b/host/host_daemon.h
@@ -35,6 +35,7 @@
     void take(const IgnoredRecord & /*record*/, std::set<std::string> & /*changed*/) {}
     void onMembership();
     void updatePhase();
+    void updateLoad();
     boost::asio::awaitable<void> tick();
     boost::asio::awaitable<transport::HttpResponse> answerLocate(transport::HttpRequest request);
     boost::asio::awaitable<transport::HttpResponse> answerReady(transport::HttpRequest request);
@@ -60,6 +61,7 @@
     transport::HttpServer ready_;
     transport::HttpServer metricsServer_;
     bool leaving_ = false;
+    std::uint64_t countedSubRequests_ = 0;
     transport::Duration clockOffset_{};
 };
 
--- a/host/host_options.h
+++ b/host/host_options.h
@@ -31,6 +31,8 @@
     double retryRatio = 0.05;
     /// Time between the request to end and the kill.
     std::chrono::milliseconds grace{6000};
+    /// Processor cores that this host may use.
+    double cores = 1;
     /// Longest time that callers keep what the directory told them.
     std::chrono::milliseconds directoryTime{2000};
 };
--- a/state/entry_membership.cpp
+++ b/state/entry_membership.cpp
@@ -7,6 +7,15 @@
 
 namespace persimmon::state {
 
+namespace {
+
+/// Two let one be lost without callers that know no other host.
+constexpr std::size_t ActivePerDomain = 2;
+/// Capacity that active hosts have for each unit of load, so that a burst finds room.
+constexpr std::uint64_t CapacityPerLoad = 2;
+
+} // namespace
+
 std::uint32_t hostId(const std::string &control)
 {
     return XXH32(control.data(), control.size(), 0);
@@ -70,7 +79,8 @@
     std::map<std::string, std::string> texts;
     for (const auto &row : liveRows()) {
         texts[row.control] = row.front + "|" + std::to_string(row.incarnation) + "|"
-                + std::to_string(static_cast<int>(row.phase)) + (row.storeLost ? "|lost" : "|");
+                             + std::to_string(static_cast<int>(row.phase))
+                             + (row.storeLost ? "|lost" : "|");
     }
     std::string all;
     for (const auto &[control, text] : texts)
@@ -133,14 +143,6 @@
     return 1 + static_cast<std::uint32_t>(livePeers().size());
 }
 
-std::uint32_t EntryMembership::position() const
-{
-    std::uint32_t position = 0;
-    for (const auto &[control, peer] : peers_)
-        position += peer.live && control < self_.control ? 1 : 0;
-    return position;
-}
-
 StoreSource storeSourceOf(const std::vector<EntryRow> &rows, const std::string &self)
 {
     // Hosts of each region that can pass records on, in an order that all agree on.
@@ -166,8 +168,8 @@
     if (std::find(readers.begin(), readers.end(), self) != readers.end())
         return {true, {}};
     const auto &hosts = byRegion[ownRegion];
-    const auto rank = static_cast<std::size_t>(std::find(hosts.begin(), hosts.end(), self)
-                                               - hosts.begin());
+    const auto rank =
+            static_cast<std::size_t>(std::find(hosts.begin(), hosts.end(), self) - hosts.begin());
     if (rank == hosts.size() && !hosts.empty())
         return {false, hosts.front()};
     if (rank > 0 && rank < hosts.size())
@@ -175,6 +177,41 @@
     return readers.empty() ? StoreSource{true, {}} : StoreSource{false, readers.front()};
 }
 
+std::vector<EntryRow> activeEntries(const std::vector<EntryRow> &entries)
+{
+    std::map<std::string, std::map<std::string, std::vector<EntryRow>>> byRegionAndDomain;
+    std::map<std::string, std::uint64_t> loadOfRegion;
+    for (const auto &row : entries) {
+        loadOfRegion[row.region] += row.load;
+        if (row.phase == EntryPhase::Ready)
+            byRegionAndDomain[row.region][row.failureDomain].push_back(row);
+    }
+    std::vector<EntryRow> active;
+    for (auto &[region, domains] : byRegionAndDomain) {
+        std::size_t most = 0;
+        for (auto &[domain, rows] : domains) {
+            std::sort(rows.begin(), rows.end(), [](const EntryRow &left, const EntryRow &right) {
+                return std::pair(right.capacity, left.control)
+                       < std::pair(left.capacity, right.control);
+            });
+            most = std::max(most, rows.size());
+        }
+        std::uint64_t capacity = 0;
+        const auto needed = loadOfRegion[region] * CapacityPerLoad;
+        for (std::size_t rank = 0; rank < most; ++rank) {
+            if (rank >= ActivePerDomain && capacity >= needed)
+                break;
+            for (const auto &[domain, rows] : domains) {
+                if (rank >= rows.size())
+                    continue;
+                capacity += rows[rank].capacity;
+                active.push_back(rows[rank]);
+            }
+        }
+    }
+    return active;
+}
+
 std::vector<EntryRow> chooseEntries(const std::vector<EntryRow> &entries,
                                     const std::string &callerRegion,
                                     const std::vector<std::string> &servingRegions,
@@ -184,21 +221,22 @@
         return std::find(servingRegions.begin(), servingRegions.end(), region)
                != servingRegions.end();
     };
-    const auto isReady = [](const EntryRow &row) { return row.phase == EntryPhase::Ready; };
     const std::vector<std::function<bool(const EntryRow &)>> preferences{
-            [&](const EntryRow &row) {
-                return isReady(row) && row.region == callerRegion && serves(callerRegion);
-            },
-            [&](const EntryRow &row) { return isReady(row) && serves(row.region); },
-            isReady,
-            [](const EntryRow &row) { return row.phase == EntryPhase::Starting; },
+            [&](const EntryRow &row) { return row.region == callerRegion && serves(callerRegion); },
+            [&](const EntryRow &row) { return serves(row.region); },
+            [](const EntryRow & /*row*/) { return true; },
     };
+    const auto active = activeEntries(entries);
     std::vector<EntryRow> chosen;
     for (const auto &isPreferred : preferences) {
-        std::copy_if(entries.begin(), entries.end(), std::back_inserter(chosen), isPreferred);
+        std::copy_if(active.begin(), active.end(), std::back_inserter(chosen), isPreferred);
         if (!chosen.empty())
             break;
     }
+    if (chosen.empty()) {
+        std::copy_if(entries.begin(), entries.end(), std::back_inserter(chosen),
+                     [](const EntryRow &row) { return row.phase == EntryPhase::Starting; });
+    }
     if (chosen.size() > most)
         chosen.resize(most);
     return chosen;
--- a/state/entry_membership.h
+++ b/state/entry_membership.h
@@ -82,7 +82,8 @@
     /// Takes heartbeats from a peer that holds the same rows.
     void merge(const std::vector<Heartbeat> &heartbeats, TimePoint now);
 
-    /// @return hash over all that the rows of the live hosts say beside heartbeats and loads. Two hosts
+    /// @return hash over all that the rows of the live hosts say beside heartbeats and loads. Two
+    /// hosts
     ///         with the same digest exchange only heartbeats.
     std::uint64_t digest() const;
 
@@ -109,9 +110,6 @@
     /// @return number of live hosts with this one.
     std::uint32_t liveCount() const;
 
-    /// @return position of this host among the live ones, in the order of their addresses.
-    std::uint32_t position() const;
-
 private:
     struct Peer
     {
@@ -136,9 +134,9 @@
     bool operator==(const StoreSource &) const = default;
 };
 
-/// Decides where a host learns what the platform's store holds, so that the calls to the store do not
-/// grow with the number of hosts. A few hosts read the store, one in each region if possible. The
-/// others follow a host of their region, each at most StoreFollowers of them.
+/// Decides where a host learns what the platform's store holds, so that the calls to the store do
+/// not grow with the number of hosts. A few hosts read the store, one in each region if possible.
+/// The others follow a host of their region, each at most StoreFollowers of them.
 /// @param rows live hosts.
 /// @param self control address of this host.
 /// @return the source. A host that lost the store goes on trying, and another takes its turn.
@@ -149,6 +147,14 @@
 /// Hosts that follow one copy. A region of 1,000 hosts is then four steps deep.
 inline constexpr std::size_t StoreFollowers = 8;
 
+/// Hosts that carry the requests of callers while the load is low. Few hosts keep their connections
+/// to upstreams in use, and learn sooner which upstreams are slow.
+/// @param entries live hosts.
+/// @return for each region the ready hosts that its callers are told of: two in each failure
+/// domain,
+///         the largest first, and more until twice the load of the region fits their capacity.
+std::vector<EntryRow> activeEntries(const std::vector<EntryRow> &entries);
+
 /// Chooses the hosts that a caller is told of.
 /// @param entries live hosts.
 /// @param callerRegion region of the caller.
@@ -156,8 +162,8 @@
 /// is
 ///        far from them would fetch every part from another region for each request.
 /// @param most largest number of hosts.
-/// @return ready hosts in the caller's region if that region serves; else those of the serving
-///         regions; else all that are ready. Hosts that only start are named when none is ready.
+/// @return active hosts in the caller's region if that region serves; else those of the serving
+///         regions; else all active ones. Hosts that only start are named when none is ready.
 std::vector<EntryRow> chooseEntries(const std::vector<EntryRow> &entries,
                                     const std::string &callerRegion,
                                     const std::vector<std::string> &servingRegions,
--- a/state/upstream_registry.cpp
+++ b/state/upstream_registry.cpp
@@ -18,6 +18,8 @@
 /// Factor on the latency of an upstream in another region, whose answers cost transfer.
 constexpr double OtherRegionCost = 1.6;
 /// The retry budget of the platform pays for a hedge of one request in six.
+/// Extra executions of a service that a host beside the active ones may start.
+constexpr double IdleHostBurst = 0.2;
 constexpr double HedgeQuantile = 0.85;
 constexpr double LeastHedgeMedians = 1.5;
 /// An upstream in another region answers later than the hedge delay of a near one, and is still
@@ -109,6 +111,18 @@
     return found == regionOfDomain_.end() ? Unknown : found->second;
 }
 
+std::uint32_t UpstreamRegistry::coldRateOf(const UpstreamRecord &record, const ServiceInfo &info,
+                                           const HostShare &share, const SharedLimits &limits)
+{
+    if (!share.position)
+        return 0;
+    const auto total = (info.coldRate * limits.coldExcess + limits.coldSlack) * DividedPart;
+    // The rest goes to other hosts for each upstream, so that no host has all of it.
+    const auto turn = XXH64(record.id.data(), record.id.size(), 0);
+    const auto position = static_cast<std::uint32_t>((*share.position + turn) % share.hosts);
+    return partOfLimit(static_cast<std::uint32_t>(std::floor(total)), share.hosts, position);
+}
+
 UpstreamTraits UpstreamRegistry::traitsOf(const Upstream &upstream, const ServiceInfo &info,
                                           const HostShare &share, const SharedLimits &limits) const
 {
@@ -121,14 +135,8 @@
     traits.coldUntil = upstream.coldUntil;
     traits.coldTime = info.coldTime;
     traits.lastChoice = upstream.lapsesAt.has_value();
-    if (info.coldRate > 0) {
-        const auto total = (info.coldRate * limits.coldExcess + limits.coldSlack) * DividedPart;
-        // The rest goes to other hosts for each upstream, so that no host has all of it.
-        const auto turn = XXH64(upstream.record.id.data(), upstream.record.id.size(), 0);
-        const auto position = static_cast<std::uint32_t>((share.position + turn) % share.hosts);
-        traits.coldRate =
-                partOfLimit(static_cast<std::uint32_t>(std::floor(total)), share.hosts, position);
-    }
+    if (info.coldRate > 0)
+        traits.coldRate = coldRateOf(upstream.record, info, share, limits);
     return traits;
 }
 
@@ -143,7 +151,9 @@
     settings.leastHedgeMedians = LeastHedgeMedians;
     settings.stragglerFactor = StragglerFactor;
     settings.crashTracking = false;
-    settings.extraLoad = {limits.retryBurst * DividedPart / share.hosts, true};
+    // A host that carries no load of its own may still serve callers that found it earlier.
+    const double burst = limits.retryBurst * DividedPart / share.hosts;
+    settings.extraLoad = {share.position ? burst : std::min(burst, IdleHostBurst), true};
     const auto ids = idsOfService_.find(service);
     if (ids == idsOfService_.end())
         return settings;
--- a/state/upstream_registry.h
+++ b/state/upstream_registry.h
@@ -30,12 +30,12 @@
     bool operator==(const UpstreamRecord &) const = default;
 };
 
-/// Where this host stands among the hosts that share limits.
+/// Where this host stands among the active hosts, which share limits.
 struct HostShare
 {
     std::uint32_t hosts = 1;
-    /// Position among the live hosts, from 0.
-    std::uint32_t position = 0;
+    /// Position among these hosts, from 0; nothing if this host is none of them.
+    std::optional<std::uint32_t> position = 0;
     std::string region;
 
     bool operator==(const HostShare &) const = default;
@@ -104,6 +104,8 @@
 
     bool isUsable(const Upstream &upstream) const;
     const std::string &regionOf(const UpstreamRecord &record) const;
+    static std::uint32_t coldRateOf(const UpstreamRecord &record, const ServiceInfo &info,
+                                    const HostShare &share, const SharedLimits &limits);
     UpstreamTraits traitsOf(const Upstream &upstream, const ServiceInfo &info,
                             const HostShare &share, const SharedLimits &limits) const;
 
--- a/tests/state/test_entry_membership.cpp
+++ b/tests/state/test_entry_membership.cpp
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <map>
 #include <random>
 #include <set>
@@ -77,17 +78,34 @@
     }
 }
 
-TEST_CASE("hosts agree on their positions and each has its own")
+TEST_CASE("all hosts choose the same active ones, and more when the load grows")
 {
-    // Guards against two hosts that take the same part of a shared limit.
-    std::set<std::uint32_t> positions;
-    for (const auto *self : {"a", "b", "c"}) {
-        EntryMembership membership(makeRow(self));
-        membership.merge({makeRow("a"), makeRow("b"), makeRow("c")}, Start);
-        CHECK(membership.liveCount() == 3);
-        positions.insert(membership.position());
+    // Load pattern: many hosts with little load, then a burst. Guards against two hosts that take
+    // the same part of a shared limit, and against a few hosts that carry a burst alone.
+    std::vector<EntryRow> rows;
+    for (int i = 0; i < 20; ++i) {
+        auto row = makeRow("h" + std::to_string(i), "r1");
+        row.failureDomain = i % 2 == 0 ? "d1" : "d2";
+        row.capacity = i < 10 ? 1000 : 4000;
+        rows.push_back(row);
     }
-    CHECK(positions == std::set<std::uint32_t>{0, 1, 2});
+    const auto active = activeEntries(rows);
+    REQUIRE(active.size() == 4);
+    for (const auto &row : active)
+        CHECK(row.capacity == 4000);
+    auto shuffled = rows;
+    std::reverse(shuffled.begin(), shuffled.end());
+    CHECK(activeEntries(shuffled) == active);
+    for (auto &row : rows)
+        row.load = 1000;
+    std::uint64_t capacity = 0;
+    for (const auto &row : activeEntries(rows))
+        capacity += row.capacity;
+    CHECK(capacity >= 2 * 20 * 1000);
+    // All hosts carry what is too much for them together.
+    for (auto &row : rows)
+        row.load = 100'000;
+    CHECK(activeEntries(rows).size() == rows.size());
 }
 
 TEST_CASE("callers are told of ready hosts in their region if it serves")
--- a/tests/state/test_upstream_registry.cpp
+++ b/tests/state/test_upstream_registry.cpp
@@ -134,6 +134,15 @@
     }
 }
 
+TEST_CASE_FIXTURE(Fixture, "a host beside the active ones adds next to nothing to shared limits")
+{
+    // Guards against limits that idle hosts exceed with callers that found them earlier.
+    registry.update(makeRecord("a", "d1"), Start);
+    share.position.reset();
+    CHECK(settings().traits.at("a").coldRate == 0U);
+    CHECK(settings().extraLoad->burst < 1);
+}
+
 TEST_CASE_FIXTURE(Fixture, "homes restrict the upstreams and far ones cost more")
 {
     registry.update(makeRecord("a", "d1"), Start);
