--- a/forward/front_server.cpp
+++ b/forward/front_server.cpp
@@ -201,9 +201,11 @@
 {
     const auto now = runtime_.clock().now();
     for (const auto &session : sessions_) {
-        if (session->busy || now - session->idleSince < idleTime)
-            continue;
         beast::error_code ignored;
+        // A request that has arrived and was not yet read is served first.
+        const bool pending = session->socket.available(ignored) > 0;
+        if (session->busy || pending || now - session->idleSince < idleTime)
+            continue;
         session->socket.close(ignored);
     }
 }
--- a/protocol/protocol.h
+++ b/protocol/protocol.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "protocol/base64.h"
 #include "protocol/caller_codec.h"
 #include "protocol/caller_messages.h"
 #include "protocol/config_documents.h"
--- a/standin/standin.h
+++ b/standin/standin.h
@@ -7,6 +7,7 @@
 #include "standin/fault_commands.h"
 #include "standin/platform_service.h"
 #include "standin/platform_store.h"
+#include "standin/record_store.h"
 #include "standin/request_target.h"
 #include "standin/slot_model.h"
 #include "standin/stand_in.h"
--- a/tests/platform/test_record_codec.cpp
+++ b/tests/platform/test_record_codec.cpp
@@ -36,17 +36,6 @@
 
 } // namespace
 
-TEST_CASE("base64 is decoded with its padding")
-{
-    CHECK(decodeBase64("bm9kZS0x") == "node-1");
-    CHECK(decodeBase64("YQ==") == "a");
-    CHECK(decodeBase64("YWI=") == "ab");
-    CHECK(decodeBase64("") == "");
-    CHECK_FALSE(decodeBase64("YQ"));
-    CHECK_FALSE(decodeBase64("Y==="));
-    CHECK_FALSE(decodeBase64("!!!!"));
-}
-
 TEST_CASE("a configuration is read into routes and services")
 {
     const auto decoded = decodeConfig(Config);
@@ -125,7 +114,7 @@
             text.resize(random() % text.size());
         decodeUpstream("i-1", text);
         decodeConfig(text);
-        decodeBase64(text);
+        protocol::decodeBase64(text);
         decodePage(text);
         decodeChanges(text);
     }
--- /dev/null
+++ b/tests/support/raw_http.cpp
@@ -0,0 +1,195 @@
+#include "tests/support/raw_http.h"
+
+#include <arpa/inet.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cstdlib>
+
+namespace persimmon::tests {
+
+namespace {
+
+sockaddr_in loopback(int port)
+{
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(static_cast<std::uint16_t>(port));
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    return address;
+}
+
+/// @return whether @p text holds a whole message with its body.
+bool isWhole(const std::string &text)
+{
+    const auto head = text.find("\r\n\r\n");
+    if (head == std::string::npos)
+        return false;
+    const auto length = fieldOf(text, "Content-Length");
+    const auto size = length.empty() ? 0 : std::strtoul(length.c_str(), nullptr, 10);
+    return text.size() >= head + 4 + size;
+}
+
+/// Reads until a message is whole, the connection ends or the time is over.
+std::string readMessage(int socket, std::chrono::milliseconds limit)
+{
+    std::string text;
+    const auto end = std::chrono::steady_clock::now() + limit;
+    while (!isWhole(text)) {
+        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+                end - std::chrono::steady_clock::now());
+        pollfd event{socket, POLLIN, 0};
+        if (left.count() <= 0 || ::poll(&event, 1, static_cast<int>(left.count())) <= 0)
+            break;
+        std::array<char, 4096> chunk{};
+        const auto count = ::recv(socket, chunk.data(), chunk.size(), 0);
+        if (count <= 0)
+            break;
+        text.append(chunk.data(), static_cast<std::size_t>(count));
+    }
+    return text;
+}
+
+} // namespace
+
+RawUpstream::RawUpstream(Handler handler) : handler_(std::move(handler))
+{
+    listener_ = ::socket(AF_INET, SOCK_STREAM, 0);
+    auto address = loopback(0);
+    ::bind(listener_, reinterpret_cast<sockaddr *>(&address), sizeof address);
+    ::listen(listener_, 64);
+    socklen_t size = sizeof address;
+    ::getsockname(listener_, reinterpret_cast<sockaddr *>(&address), &size);
+    port_ = ntohs(address.sin_port);
+    acceptor_ = std::thread([this] { accept(); });
+}
+
+RawUpstream::~RawUpstream()
+{
+    stopping_ = true;
+    ::shutdown(listener_, SHUT_RDWR);
+    acceptor_.join();
+    ::close(listener_);
+    {
+        const std::lock_guard lock(mutex_);
+        for (const auto socket : sockets_)
+            ::shutdown(socket, SHUT_RDWR);
+    }
+    for (auto &thread : threads_)
+        thread.join();
+    for (const auto socket : sockets_)
+        ::close(socket);
+}
+
+std::string RawUpstream::address() const
+{
+    return "127.0.0.1:" + std::to_string(port_);
+}
+
+std::vector<std::string> RawUpstream::requests() const
+{
+    const std::lock_guard lock(mutex_);
+    return requests_;
+}
+
+void RawUpstream::accept()
+{
+    while (!stopping_) {
+        const int socket = ::accept(listener_, nullptr, nullptr);
+        if (socket < 0)
+            continue;
+        const std::lock_guard lock(mutex_);
+        sockets_.push_back(socket);
+        threads_.emplace_back([this, socket] { serve(socket); });
+    }
+}
+
+void RawUpstream::serve(int socket)
+{
+    while (!stopping_) {
+        const auto request = readMessage(socket, std::chrono::seconds(20));
+        if (!isWhole(request))
+            break;
+        {
+            const std::lock_guard lock(mutex_);
+            requests_.push_back(request);
+        }
+        const auto answer = handler_(request);
+        const auto end = std::chrono::steady_clock::now() + answer.delay;
+        while (!stopping_ && std::chrono::steady_clock::now() < end) {
+            pollfd event{socket, POLLRDHUP, 0};
+            if (::poll(&event, 1, 5) > 0) {
+                ++abandoned_;
+                ::shutdown(socket, SHUT_RDWR);
+                return;
+            }
+        }
+        ::send(socket, answer.bytes.data(), answer.bytes.size(), MSG_NOSIGNAL);
+        if (answer.close)
+            break;
+    }
+    ::shutdown(socket, SHUT_RDWR);
+}
+
+std::string makeAnswer(const std::string &body, const std::string &signature,
+                       const std::string &extraFields, int status)
+{
+    std::string text = "HTTP/1.1 " + std::to_string(status) + " Answer\r\n";
+    if (!signature.empty())
+        text += "X-Sign: " + signature + "\r\n";
+    return text + extraFields + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n"
+           + body;
+}
+
+std::string fieldOf(const std::string &message, const std::string &name)
+{
+    const auto head = message.substr(0, message.find("\r\n\r\n") + 2);
+    const auto at = head.find("\r\n" + name + ": ");
+    if (at == std::string::npos)
+        return "";
+    const auto begin = at + name.size() + 4;
+    return head.substr(begin, head.find("\r\n", begin) - begin);
+}
+
+std::string bodyOf(const std::string &message)
+{
+    const auto head = message.find("\r\n\r\n");
+    return head == std::string::npos ? "" : message.substr(head + 4);
+}
+
+int statusOf(const std::string &response)
+{
+    return response.starts_with("HTTP/1.1 ") ? std::atoi(response.c_str() + 9) : 0;
+}
+
+RawCaller::RawCaller(int port) : socket_(::socket(AF_INET, SOCK_STREAM, 0))
+{
+    auto address = loopback(port);
+    ::connect(socket_, reinterpret_cast<sockaddr *>(&address), sizeof address);
+}
+
+RawCaller::~RawCaller()
+{
+    close();
+}
+
+void RawCaller::send(const std::string &text) const
+{
+    ::send(socket_, text.data(), text.size(), MSG_NOSIGNAL);
+}
+
+std::string RawCaller::receive(std::chrono::milliseconds limit) const
+{
+    return readMessage(socket_, limit);
+}
+
+void RawCaller::close()
+{
+    if (socket_ >= 0)
+        ::close(socket_);
+    socket_ = -1;
+}
+
+} // namespace persimmon::tests
--- /dev/null
+++ b/tests/system/platform_cluster.cpp
@@ -0,0 +1,203 @@
+#include "tests/system/platform_cluster.h"
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+#include <thread>
+
+namespace persimmon::tests {
+
+namespace {
+
+constexpr std::chrono::milliseconds PollInterval{20};
+
+/// @return a port that is free now.
+int freePort()
+{
+    const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    ::bind(socket, reinterpret_cast<sockaddr *>(&address), sizeof address);
+    socklen_t size = sizeof address;
+    ::getsockname(socket, reinterpret_cast<sockaddr *>(&address), &size);
+    ::close(socket);
+    return ntohs(address.sin_port);
+}
+
+std::string local(int port)
+{
+    return "127.0.0.1:" + std::to_string(port);
+}
+
+std::string get(int port, const std::string &target)
+{
+    const RawCaller caller(port);
+    caller.send("GET " + target + " HTTP/1.1\r\nHost: h.example\r\n\r\n");
+    return caller.receive(std::chrono::seconds(2));
+}
+
+} // namespace
+
+PlatformCluster::PlatformCluster()
+    : folder_(std::filesystem::temp_directory_path()
+              / ("persimmon-platform-" + std::to_string(::getpid()) + "-"
+                 + std::to_string(freePort()))),
+      store_(runtime_),
+      serviceOf_{{"a1", "shard-a"}, {"a2", "shard-a"}, {"b1", "shard-b"},
+                 {"b2", "shard-b"}, {"p1", "pay"},     {"p2", "pay"}}
+{
+    std::filesystem::create_directories(folder_);
+    const auto bound = store_.listen(valueOf(transport::parseEndpoint("127.0.0.1:0")));
+    storeAddress_ = transport::formatEndpoint(valueOf(bound));
+    runtime_.start();
+    for (const auto &[id, service] : serviceOf_) {
+        upstreams_[id] = std::make_unique<RawUpstream>(
+                [this, id = id](const std::string &request) { return answer(id, request); });
+        registerUpstream(id, "ready");
+    }
+    configure(1, "/g/");
+    for (int host = 1; host <= HostCount; ++host)
+        ports_[host] = {freePort(), freePort(), freePort(), freePort(), freePort()};
+    for (int host = 1; host <= HostCount; ++host)
+        start(host);
+}
+
+PlatformCluster::~PlatformCluster()
+{
+    processes_.clear();
+    upstreams_.clear();
+    runtime_.stop();
+    std::filesystem::remove_all(folder_);
+}
+
+void PlatformCluster::start(int host)
+{
+    writeSettings(host);
+    const auto program = std::string(PERSIMMON_BINARY_DIR) + "/persimmon-host";
+    processes_[host] = std::make_unique<Process>(
+            std::vector<std::string>{program, "--settings-file", settingsPath(host),
+                                     "--metrics-port", std::to_string(ports_.at(host).metrics)},
+            folder_ + "/host" + std::to_string(host) + ".log");
+}
+
+std::string PlatformCluster::settingsPath(int host) const
+{
+    return folder_ + "/host" + std::to_string(host) + ".yaml";
+}
+
+void PlatformCluster::writeSettings(int host) const
+{
+    const auto &ports = ports_.at(host);
+    std::ofstream file(settingsPath(host));
+    file << "node_name: host" << host << "\nzone: z" << host << "\nregion: r\n"
+         << "zones: {z1: r, z2: r, z3: r}\nlisten_addrs:\n"
+         << "  front: " << local(ports.front) << "\n  directory: " << local(ports.directory)
+         << "\n  ready_addr: " << local(ports.ready) << "\n  control: " << local(ports.control)
+         << "\nseed_nodes: [\"" << local(ports_.at(1).control) << "\", \""
+         << local(ports_.at(2).control) << "\"]\n"
+         << "bounds: {retry_ratio: 0.2, retry_burst: 52, grace_s: 3, ttl_max_s: 2}\n"
+         << "platform:\n  address: " << storeAddress_ << "\n";
+}
+
+void PlatformCluster::configure(std::uint64_t version, const std::string &prefix)
+{
+    store_.put("op/config", R"({"version":)" + std::to_string(version) + R"(,"routes":[
+{"name":"g","host":"h.example","prefix":")"
+                                    + prefix + R"(","kind":"idempotent","deadline_ms":2000,
+ "goal_ms":500,"priority":1,"gather":["shard-a","shard-b"],"max_attempts":2,"top_k":2,
+ "min_fraction":1.0},
+{"name":"p","host":"h.example","prefix":"/pay/","kind":"non_idempotent","deadline_ms":2000,
+ "goal_ms":500,"priority":0,"service":"pay","max_attempts":2}],"services":[],
+"limits":{"max_header_bytes":16384,"max_body_bytes":262144,"header_ms":3000,"idle_ms":15000}})");
+}
+
+void PlatformCluster::registerUpstream(const std::string &id, const std::string &state)
+{
+    store_.put("servers/" + id,
+               R"({"service":")" + serviceOf_.at(id) + R"(","address":")"
+                       + upstreams_.at(id)->address()
+                       + R"(","zone":"z1","version":"v","concurrency_limit":4,"state":")" + state
+                       + R"(","cold_left_ms":0,"sequence":1,"born":1})");
+}
+
+RawAnswer PlatformCluster::answer(const std::string &id, const std::string &request)
+{
+    const auto expected = fieldOf(request, "X-Expect-Instance");
+    if (expected != id)
+        return {makeAnswer("", "", "X-Not-Executed: 1\r\n", 421)};
+    {
+        const std::lock_guard lock(mutex_);
+        ++runs_[fieldOf(request, "X-Request-Id")];
+    }
+    if (loseAnswers_)
+        return {"", true};
+    const auto stamp = "X-Response-Stamp: " + serviceOf_.at(id) + "\r\n";
+    RawAnswer result{makeAnswer(std::string(16, id.front()), "", stamp)};
+    result.delay = std::chrono::milliseconds(5);
+    return result;
+}
+
+bool PlatformCluster::waitUntil(const std::function<bool()> &condition,
+                                std::chrono::milliseconds limit)
+{
+    const auto end = std::chrono::steady_clock::now() + limit;
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() > end)
+            return false;
+        std::this_thread::sleep_for(PollInterval);
+    }
+    return true;
+}
+
+bool PlatformCluster::waitUntilReady(int host, std::chrono::milliseconds limit)
+{
+    return waitUntil([&] { return statusOf(get(ports_.at(host).ready, "/ready")) == 200; }, limit);
+}
+
+std::string PlatformCluster::call(int host, const std::string &target,
+                                  const std::string &method) const
+{
+    static std::atomic<int> count = 0;
+    return callAs("q" + std::to_string(++count), host, target, method);
+}
+
+std::string PlatformCluster::callAs(const std::string &id, int host, const std::string &target,
+                                    const std::string &method) const
+{
+    const RawCaller caller(ports_.at(host).front);
+    caller.send(method + " " + target + " HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: " + id
+                + "\r\nX-Deadline-Ms: 2000\r\nContent-Length: 0\r\n\r\n");
+    return caller.receive();
+}
+
+std::string PlatformCluster::front(int host) const
+{
+    return local(ports_.at(host).front);
+}
+
+std::string PlatformCluster::locate(int host) const
+{
+    return bodyOf(get(ports_.at(host).directory, "/resolve?name=h.example&region=r&zone=z1"));
+}
+
+std::string PlatformCluster::metrics(int host) const
+{
+    return bodyOf(get(ports_.at(host).metrics, "/metrics"));
+}
+
+std::map<std::string, int> PlatformCluster::runs() const
+{
+    const std::lock_guard lock(mutex_);
+    return runs_;
+}
+
+std::size_t PlatformCluster::arrivalsAt(const std::string &id) const
+{
+    return upstreams_.at(id)->requests().size();
+}
+
+} // namespace persimmon::tests
