Rank upstreams by their failures too

Cause: the ranking knew latency and load only.

Change: each upstream has a failure rate over its last attempts, and its cost is multiplied by the square of the attempts that a success takes.

--- a/state/replica_set.cpp
+++ b/state/replica_set.cpp
@@ -17,6 +17,10 @@
 /// since, has stalled: new work would wait behind it.
 constexpr int StallFactor = 3;
 constexpr std::chrono::milliseconds LeastStallTime{20};
+/// Weight of one attempt in the failure rate: the last twenty or so decide.
+constexpr double FailureWeight = 0.06;
+/// An upstream that fails always still ranks as if one attempt in ten succeeded.
+constexpr double LeastSuccessRate = 0.1;
 
 } // namespace
 
@@ -113,6 +117,23 @@
     ++failuresInRow;
 }
 
+void ReplicaSet::Replica::recordOutcome(AttemptEnd end)
+{
+    switch (end) {
+    case AttemptEnd::Answered:
+        failureRate -= failureRate * FailureWeight;
+        break;
+    case AttemptEnd::Shed:
+    case AttemptEnd::Lost:
+    case AttemptEnd::Dropped:
+    case AttemptEnd::Failed:
+        failureRate += (1 - failureRate) * FailureWeight;
+        break;
+    default:
+        break;
+    }
+}
+
 Duration ReplicaSet::lowestLatency() const
 {
     auto lowest = Duration::max();
@@ -124,7 +145,9 @@
 double ReplicaSet::cost(const Replica &replica, Duration unknown)
 {
     const double load = static_cast<double>(replica.inFlight) / replica.ramp.limit();
-    return (1 + load) * replica.traits.costFactor
+    // Latency that callers see when a failed attempt is followed by another.
+    const double attempts = 1 / std::max(LeastSuccessRate, 1 - replica.failureRate);
+    return (1 + load) * attempts * attempts * replica.traits.costFactor
            * static_cast<double>(replica.recent.median().value_or(unknown).count());
 }
 
@@ -198,6 +221,7 @@
     const auto start = std::find(replica.starts.begin(), replica.starts.end(), now - latency);
     replica.starts.erase(start == replica.starts.end() ? replica.starts.begin() : start);
     replica.ramp.onIncarnation(result.incarnation);
+    replica.recordOutcome(result.end);
     switch (result.end) {
     case AttemptEnd::Answered:
         replica.ramp.onSuccess(result.incarnation, latency);
--- a/state/replica_set.h
+++ b/state/replica_set.h
@@ -159,11 +159,14 @@
         std::deque<TimePoint> starts;
         TimePoint lastEnd{};
         std::uint32_t failuresInRow = 0;
+        /// Part of the recent attempts without a usable answer, 0 to 1.
+        double failureRate = 0;
 
         bool lacks(std::uint64_t snapshot, TimePoint now) const;
         bool isStalled(TimePoint now) const;
         bool isPreferred(TimePoint now) const;
         void avoid(TimePoint now);
+        void recordOutcome(AttemptEnd end);
         bool isProbeDue() const { return inFlight == 0 && passedOver >= ProbeInterval; }
     };
 
--- a/tests/state/test_forwarding_schedule.cpp
+++ b/tests/state/test_forwarding_schedule.cpp
@@ -97,6 +97,23 @@
     CHECK(replies.at(1).outcome == protocol::SubOutcome::NotRun);
 }
 
+TEST_CASE_FIXTURE(Fixture, "work moves to the upstream that fails less")
+{
+    // Load pattern: one of two upstreams sheds part of its requests while it answers the others
+    // fast. Guards against a choice by latency alone, which prefers the one that sheds.
+    settings.extraLoad = {0, true};
+    configure();
+    std::uint32_t random = 1;
+    for (int i = 0; i < 400; ++i) {
+        random = random * 1664525 + 1013904223;
+        const auto id = arrive();
+        const bool sheds = running.at(id).upstream.name == "a" && (random >> 16) % 10 < 6;
+        now += milliseconds(running.at(id).upstream.name == "a" ? 10 : 13);
+        end(id, sheds ? AttemptEnd::Shed : AttemptEnd::Answered);
+    }
+    CHECK(starts.at("b") > 3 * starts.at("a"));
+}
+
 TEST_CASE_FIXTURE(Fixture, "a connection that was never made costs no token")
 {
     // Guards against a budget that dead upstreams use up although nothing arrived anywhere.
