--- a/coordination/peer_exchange.cpp
+++ b/coordination/peer_exchange.cpp
@@ -22,7 +22,7 @@
 constexpr int MostDoublings = 3;
 /// Rounds right after the start, until the hosts know each other.
 constexpr int FastRounds = 10;
-constexpr std::chrono::milliseconds FastRoundTime{200};
+constexpr std::chrono::milliseconds FastRoundTime{50};
 
 } // namespace
 
--- a/coordination/record_follower.cpp
+++ b/coordination/record_follower.cpp
@@ -20,7 +20,7 @@
 constexpr int MostDoublings = 3;
 /// Changes that follow each other within this time come with one call.
 constexpr std::chrono::milliseconds CoalesceTime{120};
-constexpr std::chrono::milliseconds FirstDelay{300};
+constexpr std::chrono::milliseconds FirstDelay{80};
 /// A host that neither peers nor the store have told anything reads the store itself.
 constexpr std::chrono::milliseconds LongestStart{2500};
 /// A watch delivers a change within this time of the first host that knows of it.
