Log hedges, retries, failed attempts and the shards left out

Cause: a request's last line told that parts were missing, but not which and why; attempts beside the first left no line.

Change: one line for each further attempt and for each that ended without an answer, with the request's id; the last line of a partial or failed request names the first five shards left out and the reason of each.

--- a/forward/request_forwarder.cpp
+++ b/forward/request_forwarder.cpp
@@ -38,6 +38,22 @@
     return std::to_string(std::chrono::round<std::chrono::milliseconds>(time).count());
 }
 
+/// @return the shards without a part and why, for log lines; the first few of them.
+std::string describeLeftOut(const state::GatherRun &run, const std::vector<std::string> &shards)
+{
+    constexpr std::size_t Most = 5;
+    std::string text;
+    std::size_t count = 0;
+    for (std::size_t i = 0; i < shards.size() && count < Most; ++i) {
+        if (run.parts()[i])
+            continue;
+        const auto error = run.errorOf(i);
+        text.append(count++ == 0 ? "" : " ").append(shards[i]).append(":");
+        text.append(error ? enumName(protocol::SubErrorNames, *error) : "no_reply_yet");
+    }
+    return text;
+}
+
 } // namespace
 
 RequestForwarder::RequestForwarder(transport::Runtime &runtime, transport::Metrics &metrics,
@@ -81,8 +97,7 @@
     job.work.upstreamLimit = call.route->upstreamLimit;
     job.execute = [this, request = call.request, deadline = call.deadline,
                    repeatable = call.route->idempotent](const state::StartAttempt &action) {
-        const AttemptKey key{action.id, action.attempt};
-        return pool_.execute(key, action.upstream, request, deadline, repeatable);
+        return runAttempt(request, action, deadline, repeatable);
     };
     job.cancel = [this](const state::CancelAttempt &action) {
         pool_.cancel({action.id, action.attempt});
@@ -90,6 +105,37 @@
     return job;
 }
 
+asio::awaitable<state::AttemptResult>
+RequestForwarder::runAttempt(std::shared_ptr<const ForwardRequest> request,
+                             state::StartAttempt action, transport::TimePoint deadline,
+                             bool repeatable)
+{
+    const std::string kind(enumName(state::AttemptKindNames, action.kind));
+    const auto &upstream = action.upstream;
+    if (action.kind != state::AttemptKind::Primary) {
+        transport::logInfo(Part, "another attempt is sent",
+                           {{"request", request->id},
+                            {"service", upstream.service},
+                            {"kind", kind},
+                            {"upstream", upstream.name}});
+    }
+    const AttemptKey key{action.id, action.attempt};
+    const auto startedAt = runtime_.clock().now();
+    auto result = co_await pool_.execute(key, upstream, request, deadline, repeatable);
+    const bool isExpected =
+            result.end == state::AttemptEnd::Answered || result.end == state::AttemptEnd::Cancelled;
+    if (!isExpected) {
+        transport::logInfo(Part, "attempt ended without an answer",
+                           {{"request", request->id},
+                            {"service", upstream.service},
+                            {"kind", kind},
+                            {"upstream", upstream.name},
+                            {"end", std::string(enumName(state::AttemptEndNames, result.end))},
+                            {"ms", formatMilliseconds(runtime_.clock().now() - startedAt)}});
+    }
+    co_return result;
+}
+
 asio::awaitable<FrontAnswer> RequestForwarder::serveSingle(Call call)
 {
     struct Wait
@@ -212,7 +258,9 @@
         return refuse(call, "too_few_shards", DefaultWait);
     if (run.verdict() == state::GatherVerdict::Failed) {
         const bool late = runtime_.clock().now() + options_.returnTime >= call.deadline;
-        return fail(call, late ? 504 : 502, "too_few_parts_" + parts);
+        return fail(call, late ? 504 : 502,
+                    "too_few_parts: " + parts + " in; left out "
+                            + describeLeftOut(run, call.route->gather.shards));
     }
     FrontAnswer answer;
     std::string signatures;
@@ -230,7 +278,9 @@
     answer.headers.push_back({"Content-Type", "application/octet-stream"});
     answer.body = state::mergeTopRecords(bodies, call.route->gather.topRecords);
     record(call, answer, std::string(enumName(state::GatherVerdictNames, run.verdict())),
-           {{"parts", parts}, {"missing", std::to_string(missing)}});
+           {{"parts", parts},
+            {"missing", std::to_string(missing)},
+            {"left_out", describeLeftOut(run, call.route->gather.shards)}});
     return answer;
 }
 
--- a/forward/request_forwarder.h
+++ b/forward/request_forwarder.h
@@ -62,6 +62,9 @@
     boost::asio::awaitable<FrontAnswer> serveSingle(Call call);
     boost::asio::awaitable<FrontAnswer> serveGather(Call call);
     dispatch::ServiceJob makeJob(const Call &call);
+    boost::asio::awaitable<state::AttemptResult>
+    runAttempt(std::shared_ptr<const ForwardRequest> request, state::StartAttempt action,
+               transport::TimePoint deadline, bool repeatable);
     FrontAnswer refuse(const Call &call, const std::string &reason, transport::Duration wait);
     FrontAnswer fail(const Call &call, int status, const std::string &reason);
     FrontAnswer answerSingle(const Call &call, const std::string &service,
--- a/state/gather_run.cpp
+++ b/state/gather_run.cpp
@@ -21,7 +21,8 @@
 GatherRun::GatherRun(const GatherPolicy &policy)
     : policy_(policy),
       least_(leastShards(policy.shards, policy.leastFraction)),
-      parts_(policy.shards)
+      parts_(policy.shards),
+      errors_(policy.shards)
 {
 }
 
@@ -34,6 +35,7 @@
         ++partCount_;
         mayHaveExecuted_ = true;
     } else {
+        errors_.at(index) = reply.error;
         ++failedCount_;
         mayHaveExecuted_ = mayHaveExecuted_ || reply.outcome != protocol::SubOutcome::NotRun;
     }
--- a/state/gather_run.h
+++ b/state/gather_run.h
@@ -3,6 +3,7 @@
 #include "state/scheduler_actions.h"
 
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace persimmon::state {
@@ -64,12 +65,16 @@
     const std::vector<Part> &parts() const { return parts_; }
     std::size_t partCount() const { return partCount_; }
 
+    /// @return why the shard @p index gave no part; nothing while it has not replied.
+    std::optional<protocol::SubError> errorOf(std::size_t index) const { return errors_.at(index); }
+
 private:
     void decide(TimePoint now);
 
     GatherPolicy policy_;
     std::size_t least_;
     std::vector<Part> parts_;
+    std::vector<std::optional<protocol::SubError>> errors_;
     std::size_t partCount_ = 0;
     std::size_t failedCount_ = 0;
     bool mayHaveExecuted_ = false;
