--- a/forward/forward.h
+++ b/forward/forward.h
@@ -5,5 +5,6 @@
 #include "forward/forward_request.h"
 #include "forward/front_server.h"
 #include "forward/header_names.h"
+#include "forward/parse_error.h"
 #include "forward/request_forwarder.h"
 #include "forward/service_set.h"
--- a/forward/forward_pool.cpp
+++ b/forward/forward_pool.cpp
@@ -1,5 +1,7 @@
 #include "forward/forward_pool.h"
 
+#include "forward/parse_error.h"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -64,12 +66,6 @@
     return std::chrono::seconds(std::max(seconds, 0));
 }
 
-bool isParseError(const beast::error_code &error)
-{
-    return error.category() == http::make_error_code(http::error::end_of_stream).category()
-           && error != http::error::end_of_stream && error != http::error::partial_message;
-}
-
 } // namespace
 
 ForwardPool::ForwardPool(transport::Runtime &runtime, transport::Metrics &metrics,
--- a/forward/forward_pool.h
+++ b/forward/forward_pool.h
@@ -5,10 +5,10 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 
-#include <compare>
 #include <map>
 #include <memory>
 #include <set>
+#include <tuple>
 
 namespace persimmon::forward {
 
@@ -18,7 +18,10 @@
     std::uint64_t sub = 0;
     std::uint32_t attempt = 0;
 
-    auto operator<=>(const AttemptKey &) const = default;
+    bool operator<(const AttemptKey &other) const
+    {
+        return std::tie(sub, attempt) < std::tie(other.sub, other.attempt);
+    }
 };
 
 /// Keeps connections to upstreams and exchanges requests on them. For one-thread runtimes only;
--- a/forward/front_server.cpp
+++ b/forward/front_server.cpp
@@ -1,5 +1,7 @@
 #include "forward/front_server.h"
 
+#include "forward/parse_error.h"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -58,12 +60,6 @@
     return error == http::error::body_limit ? 413 : 400;
 }
 
-bool isParseError(const beast::error_code &error)
-{
-    return error.category() == beast::error_code(http::error::end_of_stream).category()
-           && error != http::error::end_of_stream && error != http::error::partial_message;
-}
-
 } // namespace
 
 FrontServer::FrontServer(transport::Runtime &runtime, HeaderNames names, FrontHandler handler)
--- a/tests/system/test_documentation.cpp
+++ b/tests/system/test_documentation.cpp
@@ -32,9 +32,11 @@
 // Guards against settings that operators cannot find on their page.
 TEST_CASE("the operators' page lists every setting of the daemons")
 {
-    const auto page = readFile(std::string(PERSIMMON_SOURCE_DIR) + "/docs/OPERATING.md");
+    const auto folder = std::string(PERSIMMON_SOURCE_DIR) + "/docs/";
+    const auto page = readFile(folder + "OPERATING.md") + readFile(folder + "OPERATIONS.md");
     const std::regex flag("--[a-z-]+");
-    for (const auto *program : {"persimmon-agent", "persimmon-dispatch", "persimmon-entry"}) {
+    for (const auto *program :
+         {"persimmon-agent", "persimmon-dispatch", "persimmon-entry", "persimmon-host"}) {
         const auto help = readHelp(program);
         CHECK(help.size() > 100);
         for (std::sregex_iterator it(help.begin(), help.end(), flag); it != std::sregex_iterator();
