Charge every arrival beyond the first and leave replaced upstreams out

Both upstreams were gone: one refused connections, the address of the other belonged to another service (421). Retries after failed connections took no token, although an attempt of the same request had arrived before, and each led to one more 421; 209 in ten seconds. Ruled out: parts of the budget of hosts that do not see each other (hosts were declared dead only later), refilled bursts.

Change: after one attempt has arrived, every retry takes a token where arrivals count. An upstream that answers for another instance gets no more requests until its record changes, or for 5 s.

Tests: "an upstream whose address belongs to another gets no more requests" was red; "arrivals beyond the first take tokens whatever failed before them" passed already with its two upstreams and is kept as a guard.

--- a/state/replica_set.cpp
+++ b/state/replica_set.cpp
@@ -17,6 +17,9 @@
 /// since, has stalled: new work would wait behind it.
 constexpr int StallFactor = 3;
 constexpr std::chrono::milliseconds LeastStallTime{20};
+/// An upstream whose address answers for another one is gone; its record is removed within this
+/// time.
+constexpr std::chrono::seconds ReplacedTime{5};
 /// Weight of one attempt in the failure rate: the last twenty or so decide.
 constexpr double FailureWeight = 0.06;
 /// An upstream that fails always still ranks as if one attempt in ten succeeded.
@@ -36,8 +39,10 @@
     for (const auto &host : settings.available) {
         const UpstreamRamp fresh(settings.coldLimit, settings.share, settings.slots, settings.ramp);
         auto &replica = replicas_.try_emplace(host.name, host, fresh).first->second;
-        if (replica.host.address != host.address)
+        if (replica.host.address != host.address) {
             replica.ramp = fresh;
+            replica.replacedUntil = {};
+        }
         replica.host = host;
         replica.available = true;
         const auto traits = settings.traits.find(host.name);
@@ -66,7 +71,7 @@
     };
     const Replica *best = nullptr;
     for (const auto &[name, replica] : replicas_) {
-        if (!replica.available)
+        if (!replica.available || now < replica.replacedUntil)
             continue;
         anyAvailable = true;
         if (replica.lacks(snapshot, now))
@@ -243,8 +248,11 @@
         replica.avoid(now);
         replica.lastEnd = now;
         break;
-    case AttemptEnd::NotWritten:
     case AttemptEnd::Replaced:
+        replica.replacedUntil = now + ReplacedTime;
+        replica.ramp.restart();
+        break;
+    case AttemptEnd::NotWritten:
         replica.avoid(now);
         replica.ramp.restart();
         replica.cold.suspectRestart(now);
--- a/state/replica_set.h
+++ b/state/replica_set.h
@@ -161,6 +161,8 @@
         std::uint32_t failuresInRow = 0;
         /// Part of the recent attempts without a usable answer, 0 to 1.
         double failureRate = 0;
+        /// Until when the address counts as that of another upstream.
+        TimePoint replacedUntil{};
 
         bool lacks(std::uint64_t snapshot, TimePoint now) const;
         bool isStalled(TimePoint now) const;
--- a/state/service_scheduler.cpp
+++ b/state/service_scheduler.cpp
@@ -87,7 +87,7 @@
         actions.emplace_back(QuarantineFingerprint{sub.work.fingerprint});
         refuseQuarantined(actions, sub.work.fingerprint);
     }
-    if (result.end == AttemptEnd::SnapshotMissing)
+    if (result.end == AttemptEnd::SnapshotMissing || result.end == AttemptEnd::Replaced)
         refuseUnservable(actions, now);
     removeIfDone(id);
     return finish(std::move(actions), now);
@@ -133,7 +133,9 @@
         break;
     }
     sub.mayHaveExecuted = sub.mayHaveExecuted || executed;
-    retryOrReply(actions, sub, executed, isChargedRefusal(result.end), now);
+    sub.arrived = sub.arrived || result.end != AttemptEnd::NotWritten;
+    // Any further attempt may be one more arrival, whatever this one ended with.
+    retryOrReply(actions, sub, executed, chargeRefusals_ && sub.arrived, now);
 }
 
 ServiceTiming &ServiceScheduler::timingOf(const Sub &sub) const
@@ -152,11 +154,6 @@
     return timings_->hedgeDelay(sub.work.workClass, far);
 }
 
-bool ServiceScheduler::isChargedRefusal(AttemptEnd end) const
-{
-    return chargeRefusals_ && (end == AttemptEnd::Shed || end == AttemptEnd::Replaced);
-}
-
 void ServiceScheduler::onAnswered(SchedulerActions &actions, Sub &sub, const Attempt &attempt,
                                   AttemptResult &result)
 {
--- a/state/service_scheduler.h
+++ b/state/service_scheduler.h
@@ -83,6 +83,8 @@
         /// Whether an ended attempt may have executed.
         bool mayHaveExecuted = false;
         bool hedged = false;
+        /// Whether an attempt reached an upstream.
+        bool arrived = false;
         AttemptKind nextKind = AttemptKind::Primary;
         std::uint32_t executions = 0;
         std::uint32_t refusals = 0;
@@ -114,7 +116,6 @@
     ServiceTiming &timingAt(const Sub &sub, const std::string &upstream) const;
     /// @return time after the start of the oldest attempt after which it is hedged.
     Duration hedgeDelayOf(const Sub &sub) const;
-    bool isChargedRefusal(AttemptEnd end) const;
     std::optional<TimePoint> nextEvent(TimePoint now) const;
     void refuseUnservable(SchedulerActions &actions, TimePoint now,
                           std::optional<std::uint64_t> only = {});
--- a/tests/state/test_forwarding_schedule.cpp
+++ b/tests/state/test_forwarding_schedule.cpp
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <map>
 
 using namespace persimmon;
@@ -124,6 +125,42 @@
     CHECK(scheduler.budget().tokens() == 2);
 }
 
+TEST_CASE_FIXTURE(Fixture, "arrivals beyond the first take tokens whatever failed before them")
+{
+    // Load pattern: one upstream is down, the address of the other belongs to another service.
+    // Guards against free retries after failed connections that each end in one more arrival.
+    int arrivals = 0;
+    for (int i = 0; i < 20; ++i) {
+        const auto id = arrive();
+        int ofRequest = 0;
+        while (!replies.contains(id)) {
+            const bool replaced = running.at(id).upstream.name == "b";
+            ofRequest += replaced ? 1 : 0;
+            end(id, replaced ? AttemptEnd::Replaced : AttemptEnd::NotWritten);
+        }
+        arrivals += std::max(0, ofRequest - 1);
+        now += milliseconds(50);
+    }
+    CHECK(arrivals <= 2);
+}
+
+TEST_CASE_FIXTURE(Fixture, "an upstream whose address belongs to another gets no more requests")
+{
+    // Guards against requests that go on to an address until the removal of its record is due.
+    settings.available.pop_back();
+    configure();
+    const auto id = arrive();
+    end(id, AttemptEnd::Replaced);
+    REQUIRE(replies.contains(id));
+    CHECK(replies.at(id).outcome == protocol::SubOutcome::NotRun);
+    const auto next = arrive();
+    CHECK_FALSE(running.contains(next));
+    // A new registration has a new address.
+    settings.available[0].address = "127.0.0.1:2";
+    configure();
+    CHECK(running.contains(arrive()));
+}
+
 TEST_CASE_FIXTURE(Fixture, "a request runs on no more upstreams than its limit")
 {
     // Guards against a third upstream for a request that may run on two.
