Put three comments right that a newcomer would stumble over

Cause: the reason for the hedge quantile stood above another constant, the comment on charged retries described the rule before its last fix, and an example in ownership.h was the name of one deployment. Comments only.

--- a/state/ownership.h
+++ b/state/ownership.h
@@ -29,7 +29,7 @@
 
 /// Ranks the dispatchers for @p service by rendezvous hashing of its block.
 /// @param view the view to decide on.
-/// @param service name such as "trial-field-07"; a trailing number selects the block.
+/// @param service name such as "index-07"; a trailing number selects the block.
 /// @return names of available entry hosts; the first is the owner, the next takes over when the
 ///         first cannot be reached. Hosts in failure domains of the service's upstreams come first.
 std::vector<std::string> rankDispatchers(const ClusterView &view, std::string_view service);
--- a/state/replica_set.h
+++ b/state/replica_set.h
@@ -38,7 +38,8 @@
 struct ExtraLoadLimit
 {
     double burst = ExtraLoadBudget::Capacity;
-    /// Whether a retry after a refusal takes a token too, because the upstream counts arrivals.
+    /// Whether upstreams count arrivals: once one attempt has arrived, every retry takes a token,
+    /// also after a refusal.
     bool chargeRefusals = false;
 };
 
--- a/state/upstream_registry.cpp
+++ b/state/upstream_registry.cpp
@@ -17,9 +17,9 @@
 constexpr std::uint32_t PipelinedRequests = 1;
 /// Factor on the latency of an upstream in another region, whose answers cost transfer.
 constexpr double OtherRegionCost = 1.6;
-/// The retry budget of the platform pays for a hedge of one request in six.
 /// Extra executions of a service that a host beside the active ones may start.
 constexpr double IdleHostBurst = 0.2;
+/// The retry budget of the platform pays for a hedge of one request in six.
 constexpr double HedgeQuantile = 0.85;
 constexpr double LeastHedgeMedians = 1.5;
 /// An upstream in another region answers later than the hedge delay of a near one, and is still
