Try slow near upstreams again after half a second

Cause: an upstream whose recent latency is high gets work again only as a probe after 100 executions elsewhere.

Change: a slow upstream is tried after 0.5 s, then ever less often up to 4 s while it stays slow; only if it would be the cheapest choice when fast. Attempts that were slow side by side count once. ReplicaSet::choose is split.

Tests: 'a near upstream gets its work back soon after it was slow' was red; 'an upstream that stays slow is tried again ever less often'.

--- a/state/replica_set.cpp
+++ b/state/replica_set.cpp
@@ -1,6 +1,7 @@
 #include "state/replica_set.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace persimmon::state {
 
@@ -20,6 +21,10 @@
 /// An upstream whose address answers for another one is gone; its record is removed within this
 /// time.
 constexpr std::chrono::seconds ReplacedTime{5};
+/// An upstream that takes this many times as long as the fastest one counts as slow.
+constexpr int SlowFactor = 2;
+/// The time after which a slow upstream is tried again doubles up to this one while it stays slow.
+constexpr std::chrono::milliseconds LongestProbeTime{4000};
 /// Weight of one attempt in the failure rate: the last twenty or so decide.
 constexpr double FailureWeight = 0.06;
 /// An upstream that fails always still ranks as if one attempt in ten succeeded.
@@ -62,14 +67,7 @@
     bool anyAvailable = false;
     bool anyHolds = false;
     bool anyPreferred = false;
-    const auto unknown = lowestLatency();
-    const auto isBetter = [mayProbe, unknown](const Replica &candidate, const Replica &best) {
-        const bool probe = mayProbe && candidate.isProbeDue();
-        if (probe != (mayProbe && best.isProbeDue()))
-            return probe;
-        return cost(candidate, unknown) < cost(best, unknown);
-    };
-    const Replica *best = nullptr;
+    std::vector<const Replica *> candidates;
     for (const auto &[name, replica] : replicas_) {
         if (!replica.available || now < replica.replacedUntil)
             continue;
@@ -81,21 +79,42 @@
             continue;
         const bool preferred = replica.isPreferred(now);
         if (preferred && !anyPreferred)
-            best = nullptr;
+            candidates.clear();
         anyPreferred = anyPreferred || preferred;
-        if (replica.inFlight >= replica.ramp.limit() || !replica.cold.mayStart(now)
-            || (anyPreferred && !preferred))
-            continue;
-        if (best == nullptr || isBetter(replica, *best))
-            best = &replica;
+        const bool mayStart = replica.inFlight < replica.ramp.limit() && replica.cold.mayStart(now);
+        if (mayStart && preferred == anyPreferred)
+            candidates.push_back(&replica);
     }
-    if (best != nullptr)
-        return {Availability::Found, best->host};
+    if (!candidates.empty())
+        return {Availability::Found, best(candidates, now, mayProbe).host};
     if (anyHolds)
         return {Availability::Busy, {}};
     return {anyAvailable ? Availability::SnapshotMissing : Availability::NoUpstream, {}};
 }
 
+const ReplicaSet::Replica &ReplicaSet::best(const std::vector<const Replica *> &candidates,
+                                            TimePoint now, bool mayProbe) const
+{
+    const auto unknown = lowestLatency();
+    const auto *cheapest = *std::min_element(
+            candidates.begin(), candidates.end(), [unknown](const auto *left, const auto *right) {
+                return cost(*left, unknown) < cost(*right, unknown);
+            });
+    if (!mayProbe)
+        return *cheapest;
+    const auto cheapestCost = cost(*cheapest, unknown);
+    for (const auto *candidate : candidates) {
+        if (candidate->inFlight > 0 || candidate == cheapest)
+            continue;
+        // A far one would cost more even if it were as fast as the fastest.
+        const auto leastCost = candidate->traits.costFactor * static_cast<double>(unknown.count());
+        if (candidate->passedOver >= ProbeInterval
+            || (now >= candidate->probeAt && leastCost < cheapestCost))
+            return *candidate;
+    }
+    return *cheapest;
+}
+
 bool ReplicaSet::Replica::lacks(std::uint64_t snapshot, TimePoint now) const
 {
     const auto found = missing.find(snapshot);
@@ -122,6 +141,18 @@
     ++failuresInRow;
 }
 
+void ReplicaSet::Replica::scheduleProbe(Duration latency, Duration lowest, TimePoint now)
+{
+    if (latency <= lowest * SlowFactor) {
+        probePause = FirstProbeTime;
+        return;
+    }
+    // Attempts that ran side by side were slow for one reason and count once.
+    if (now - latency >= slowAt)
+        probeAt = now + std::exchange(probePause, std::min(probePause * 2, LongestProbeTime));
+    slowAt = now;
+}
+
 void ReplicaSet::Replica::recordOutcome(AttemptEnd end)
 {
     switch (end) {
@@ -230,6 +261,7 @@
     switch (result.end) {
     case AttemptEnd::Answered:
         replica.ramp.onSuccess(result.incarnation, latency);
+        replica.scheduleProbe(latency, lowestLatency(), now);
         replica.recent.record(latency);
         replica.lastEnd = now;
         replica.failuresInRow = 0;
@@ -260,6 +292,7 @@
     case AttemptEnd::Cancelled:
     case AttemptEnd::TimedOut:
         replica.ramp.onUnfinished(latency);
+        replica.scheduleProbe(latency, lowestLatency(), now);
         replica.recent.recordUnfinished(latency);
         break;
     case AttemptEnd::Lost:
--- a/state/replica_set.h
+++ b/state/replica_set.h
@@ -79,6 +79,9 @@
     /// With one primary in 100 as a probe, a query over 20 shards still meets none in most cases.
     static constexpr std::uint32_t ProbeInterval = 100;
 
+    /// A slow upstream is tried again after this time for the first time.
+    static constexpr std::chrono::milliseconds FirstProbeTime{500};
+
     /// What choose() found.
     enum class Availability { Found, Busy, SnapshotMissing, NoUpstream };
     struct Choice
@@ -101,9 +104,9 @@
     /// Chooses the upstream with the lowest recent latency, weighted with its in-flight work
     /// relative to its limit.
     /// @param excluded names that are not chosen.
-    /// @param mayProbe whether an idle upstream that was passed over ProbeInterval times is chosen
-    ///        first, so that a slow one that has recovered is found. Only for work that may be
-    ///        hedged.
+    /// @param mayProbe whether an idle upstream is chosen first that was passed over ProbeInterval
+    ///        times, or whose recent latency is high and was measured some time ago, so that a
+    ///        slow one that has recovered is found. Only for work that may be hedged.
     Choice choose(std::uint64_t snapshot, const std::set<std::string> &excluded, TimePoint now,
                   bool mayProbe = false) const;
 
@@ -150,6 +153,13 @@
         /// Executions that other upstreams got since the last one here.
         std::uint32_t passedOver = 0;
         RecentLatency recent;
+        /// When it is tried again although its recent latency is high.
+        TimePoint probeAt{};
+        /// Time until the next such try. An upstream that paused is back soon, and one that stays
+        /// slow delays few requests.
+        std::chrono::milliseconds probePause = FirstProbeTime;
+        /// End of its last slow attempt.
+        TimePoint slowAt = TimePoint::min();
         /// Not chosen before this time while another upstream is available.
         TimePoint avoidUntil{};
         /// Until when each snapshot is known to be missing.
@@ -170,12 +180,15 @@
         bool isPreferred(TimePoint now) const;
         void avoid(TimePoint now);
         void recordOutcome(AttemptEnd end);
-        bool isProbeDue() const { return inFlight == 0 && passedOver >= ProbeInterval; }
+        void scheduleProbe(Duration latency, Duration lowest, TimePoint now);
     };
 
     /// @return the lowest recent latency of any upstream, which stands for unknown ones.
     Duration lowestLatency() const;
     static double cost(const Replica &replica, Duration unknown);
+    /// @return the one of @p candidates, at least one, that gets the next work.
+    const Replica &best(const std::vector<const Replica *> &candidates, TimePoint now,
+                        bool mayProbe) const;
 
     std::map<std::string, Replica> replicas_;
 };
--- a/tests/state/test_forwarding_schedule.cpp
+++ b/tests/state/test_forwarding_schedule.cpp
@@ -33,6 +33,13 @@
 
     void configure() { apply(scheduler.onView(settings, now)); }
 
+    void makeFar(const std::string &name)
+    {
+        for (auto &[upstream, traits] : settings.traits)
+            traits.costFactor = upstream == name ? 3 : 1;
+        configure();
+    }
+
     std::uint64_t arrive()
     {
         SubWork work;
@@ -212,6 +219,64 @@
         CHECK(running.at(arrive()).upstream.name != paused);
 }
 
+TEST_CASE_FIXTURE(Fixture, "a near upstream gets its work back soon after it was slow")
+{
+    // Load pattern: few requests a second, and a near upstream that pauses once. Guards against
+    // work that goes to another region for a long time because of a measurement that is old.
+    const auto serve = [this](milliseconds latency) {
+        const auto id = arrive();
+        now += latency;
+        const auto upstream = running.at(id).upstream.name;
+        end(id, AttemptEnd::Answered);
+        return upstream;
+    };
+    makeFar("a");
+    for (int i = 0; i < 10; ++i)
+        CHECK(serve(milliseconds(10)) == "b");
+    makeFar("b");
+    for (int i = 0; i < 30; ++i)
+        CHECK(serve(milliseconds(10)) == "a");
+    const std::vector<std::uint64_t> slow{arrive(), arrive(), arrive()};
+    now += milliseconds(300);
+    for (const auto id : slow)
+        end(id, AttemptEnd::Answered);
+    std::string last;
+    for (int i = 0; i < 4; ++i) {
+        last = serve(milliseconds(10));
+        now += milliseconds(240);
+    }
+    CHECK(last == "a");
+}
+
+TEST_CASE_FIXTURE(Fixture, "an upstream that stays slow is tried again ever less often")
+{
+    // Load pattern: a near upstream is slow for a long time. Guards against probes that each delay
+    // a request, and against probes of a far upstream while the near one is sound.
+    const auto serve = [this](milliseconds latencyOfA) {
+        const auto id = arrive();
+        const auto upstream = running.at(id).upstream.name;
+        now += upstream == "a" ? latencyOfA : milliseconds(12);
+        end(id, AttemptEnd::Answered);
+        now += milliseconds(100);
+        return upstream;
+    };
+    makeFar("a");
+    for (int i = 0; i < 10; ++i)
+        CHECK(serve(milliseconds(10)) == "b");
+    makeFar("b");
+    for (int i = 0; i < 90; ++i)
+        CHECK(serve(milliseconds(10)) == "a");
+    const auto usesOfA = [&](seconds span) {
+        int uses = 0;
+        for (const auto until = now + span; now < until;)
+            uses += serve(milliseconds(200)) == "a" ? 1 : 0;
+        return uses;
+    };
+    CHECK(usesOfA(seconds(4)) <= 8);
+    CHECK(usesOfA(seconds(16)) <= 5);
+    CHECK(usesOfA(seconds(16)) >= 2);
+}
+
 TEST_CASE_FIXTURE(Fixture, "work that waits for a cold upstream starts when its rate allows")
 {
     // Load pattern: a whole service that returns cold. Guards against more than the rate and
