Spread heartbeats by region and rows of hosts as news

Cause: two thirds of the transfer between regions on the grown sites was the hosts' own talk. Each host told all others at once of a changed phase, chose its peers among all regions, and sent the rows of all hosts (10 KB for 68) to each peer whose list differed, which is all of them from a start or a rolling restart until the lists agree again; a host that started asked for all records of the store in other regions. Ruled out: sub-requests (25,000 of 92,000 attempts far, about 20 of 88 MB), reads of the store (three hosts).

Change: decisions are in coordination/peer_gossip, apart from PeerExchange's I/O. Three random hosts of the own region a round; the hosts of a region take turns to ask a host of another region, four a round together. Changed rows are passed on for four heartbeats; whole lists go only to a host that starts or whose list stays different. Heartbeats to other regions are those of the own region. Dead hosts of other regions count as dead after the contact time of the settings + 1 s, since their heartbeats come through few hosts; they are looked for each 250 ms. Records come from the own region first.

Calls to the store as before.

--- a/coordination/coordination.h
+++ b/coordination/coordination.h
@@ -11,6 +11,8 @@
 #include "coordination/lag_monitor.h"
 #include "coordination/peer_choice.h"
 #include "coordination/peer_exchange.h"
+#include "coordination/peer_gossip.h"
+#include "coordination/peer_message.h"
 #include "coordination/platform_client.h"
 #include "coordination/record_follower.h"
 #include "coordination/service_read.h"
--- a/coordination/peer_exchange.cpp
+++ b/coordination/peer_exchange.cpp
@@ -23,6 +23,9 @@
 /// Rounds right after the start, until the hosts know each other.
 constexpr int FastRounds = 10;
 constexpr std::chrono::milliseconds FastRoundTime{50};
+/// After its start a host takes records only from hosts of its region for this time: all records
+/// are a large answer, and transfer between regions is dear.
+constexpr std::chrono::milliseconds NearRecordsTime{1500};
 
 } // namespace
 
@@ -33,7 +36,8 @@
       follower_(follower),
       onMembership_(std::move(onMembership)),
       server_(runtime,
-              [this](transport::HttpRequest request) { return answer(std::move(request)); })
+              [this](transport::HttpRequest request) { return answer(std::move(request)); }),
+      gossip_(membership, std::random_device{}())
 {
 }
 
@@ -45,6 +49,7 @@
 
 void PeerExchange::start()
 {
+    startedAt_ = runtime_.clock().now();
     runtime_.spawn(run());
 }
 
@@ -52,20 +57,24 @@
 {
     for (int round = 0;; ++round) {
         membership_.beat();
-        if (membership_.expire(runtime_.clock().now())) {
-            transport::logWarning(Part, "a host is silent and counts as dead",
-                                  {{"live", std::to_string(membership_.liveCount())}});
-            onMembership_();
-        }
-        for (const auto &peer : choosePeers(FanOut))
+        for (const auto &peer : gossip_.nextPeers())
             runtime_.spawn(ask(peer));
         co_await runtime_.clock().sleep(round < FastRounds ? FastRoundTime : RoundTime);
     }
 }
 
+void PeerExchange::expire()
+{
+    if (!membership_.expire(runtime_.clock().now()))
+        return;
+    transport::logWarning(Part, "a host is silent and counts as dead",
+                          {{"live", std::to_string(membership_.liveCount())}});
+    onMembership_();
+}
+
 void PeerExchange::announce()
 {
-    for (const auto &peer : membership_.livePeers())
+    for (const auto &peer : gossip_.announcePeers())
         runtime_.spawn(ask(peer));
 }
 
@@ -124,37 +133,6 @@
     co_return transport::HttpResponse(200, encodePeerMessage(reply));
 }
 
-std::vector<std::string> PeerExchange::choosePeers(std::size_t count) const
-{
-    static std::mt19937_64 random{std::random_device{}()};
-    auto peers = membership_.livePeers();
-    std::shuffle(peers.begin(), peers.end(), random);
-    if (peers.size() > count)
-        peers.resize(count);
-    // Seeds join hosts that lost sight of each other.
-    const auto live = membership_.livePeers();
-    for (const auto &seed : seeds_) {
-        const bool known = std::find(live.begin(), live.end(), seed) != live.end();
-        if (!known && seed != membership_.self().control)
-            peers.push_back(seed);
-    }
-    return peers;
-}
-
-PeerMessage PeerExchange::makeMessage(const std::string &peer, std::uint64_t peerDigest) const
-{
-    PeerMessage message;
-    message.digest = membership_.digest();
-    if (peerDigest == message.digest)
-        message.rows.push_back(membership_.self());
-    else
-        message.rows = membership_.rowsFor(peer);
-    message.heartbeats = membership_.heartbeats();
-    message.revision = follower_.mirror().revision();
-    message.wantsRecords = follower_.needsPeers();
-    return message;
-}
-
 asio::awaitable<void> PeerExchange::ask(std::string peer)
 {
     auto &slot = links_[peer];
@@ -172,6 +150,11 @@
     }
 }
 
+bool PeerExchange::mayBringRecords(const std::string &peer) const
+{
+    return membership_.isNear(peer) || runtime_.clock().now() - startedAt_ > NearRecordsTime;
+}
+
 asio::awaitable<bool> PeerExchange::askOnce(std::string peer, std::shared_ptr<Link> link)
 {
     if (!link->connection || !link->connection->isOpen() || link->connection->isPeerClosed()) {
@@ -186,8 +169,9 @@
             co_return false;
         }
     }
-    const auto known = peerStates_[peer];
-    const auto question = makeMessage(peer, known.digest);
+    auto question = gossip_.question(peer);
+    question.revision = follower_.mirror().revision();
+    question.wantsRecords = follower_.needsPeers() && mayBringRecords(peer);
     transport::HttpRequest request("POST", ExchangeTarget, encodePeerMessage(question));
     const auto response = co_await link->connection->send(std::move(request), ExchangeTimeout);
     if (!isOk(response)) {
@@ -203,6 +187,7 @@
         transport::logInfo(Part, "host answers again", {{"host", peer}});
     link->failures = 0;
     take(valueOf(message));
+    gossip_.onAnswered(valueOf(message));
     co_return true;
 }
 
@@ -226,8 +211,8 @@
     }
     const auto &message = valueOf(decoded);
     take(message);
-    const auto asker = message.rows.empty() ? std::string() : message.rows.front().control;
-    auto reply = makeMessage(asker, message.digest);
+    auto reply = gossip_.answer(message);
+    reply.revision = follower_.mirror().revision();
     if (message.wantsRecords && reply.revision > message.revision)
         reply.delta = follower_.mirror().deltaSince(message.revision);
     co_return transport::HttpResponse(200, encodePeerMessage(reply));
@@ -235,14 +220,11 @@
 
 void PeerExchange::take(const PeerMessage &message)
 {
-    if (membership_.merge(message.rows, runtime_.clock().now())) {
+    if (gossip_.take(message, runtime_.clock().now())) {
         transport::logInfo(Part, "hosts changed",
                            {{"live", std::to_string(membership_.liveCount())}});
         onMembership_();
     }
-    membership_.merge(message.heartbeats, runtime_.clock().now());
-    if (!message.rows.empty())
-        peerStates_[message.rows.front().control] = {message.revision, message.digest};
     if (message.delta)
         follower_.takeFromPeer(*message.delta);
     follower_.notePeerRevision(message.revision);
--- a/coordination/peer_exchange.h
+++ b/coordination/peer_exchange.h
@@ -1,50 +1,24 @@
 #pragma once
 
+#include "coordination/peer_gossip.h"
 #include "coordination/record_follower.h"
 #include "state/entry_membership.h"
 
 #include <functional>
 #include <map>
 #include <memory>
-#include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
 namespace persimmon::coordination {
 
-/// What one host tells another.
-struct PeerMessage
-{
-    /// Rows of hosts, the sender's first; only the sender's when the receiver holds the same rows.
-    std::vector<state::EntryRow> rows;
-    std::vector<state::Heartbeat> heartbeats;
-    /// EntryMembership::digest() of the sender.
-    std::uint64_t digest = 0;
-    /// Revision up to which the sender knows the platform's store.
-    std::uint64_t revision = 0;
-    /// Whether the sender asks for records after its revision.
-    bool wantsRecords = false;
-    /// What the asker lacks; its revision is that of the message.
-    std::optional<state::RecordDelta> delta;
-
-    bool operator==(const PeerMessage &) const = default;
-};
-
-/// @return @p message as JSON text.
-std::string encodePeerMessage(const PeerMessage &message);
-
-/// @return the message, or Malformed.
-Result<PeerMessage, CoordinationError> decodePeerMessage(const std::string &text);
-
-/// Exchanges membership rows, and records of the store where they are missing, with a few random
-/// hosts each round. For one-thread runtimes only; must outlive the runtime's handlers.
+/// Carries the messages of PeerGossip, and records of the store where they are missing, between
+/// hosts. For one-thread runtimes only; must outlive the runtime's handlers.
 class PeerExchange
 {
 public:
     static constexpr std::chrono::milliseconds RoundTime{1000};
-    /// Hosts that are asked in one round.
-    static constexpr std::size_t FanOut = 2;
 
     /// @param onMembership called when the live hosts changed.
     PeerExchange(transport::Runtime &runtime, state::EntryMembership &membership,
@@ -54,11 +28,14 @@
     transport::TransportResult<transport::Endpoint> listen(const transport::Endpoint &endpoint);
 
     /// Takes the hosts that are asked while they are unknown.
-    void setSeeds(std::vector<std::string> seeds) { seeds_ = std::move(seeds); }
+    void setSeeds(std::vector<std::string> seeds) { gossip_.setSeeds(std::move(seeds)); }
 
     void start();
 
-    /// Tells all live hosts at once, for example that this one leaves.
+    /// Looks for hosts that have died; to be called some times a second.
+    void expire();
+
+    /// Tells some hosts at once that this one changed, for example that it leaves.
     void announce();
 
     /// Waits for what the copy of @p peer has beyond a revision.
@@ -82,8 +59,8 @@
     boost::asio::awaitable<bool> askOnce(std::string peer, std::shared_ptr<Link> link);
     boost::asio::awaitable<transport::HttpResponse> answer(transport::HttpRequest request);
     boost::asio::awaitable<transport::HttpResponse> answerWatch(transport::HttpRequest request);
-    std::vector<std::string> choosePeers(std::size_t count) const;
-    PeerMessage makeMessage(const std::string &peer, std::uint64_t peerDigest) const;
+    /// @return whether @p peer may be asked for records now.
+    bool mayBringRecords(const std::string &peer) const;
     void take(const PeerMessage &message);
     void noteFailure(const std::string &peer, Link &link, const std::string &reason);
 
@@ -92,15 +69,9 @@
     RecordFollower &follower_;
     const std::function<void()> onMembership_;
     transport::HttpServer server_;
-    std::vector<std::string> seeds_;
+    PeerGossip gossip_;
+    transport::TimePoint startedAt_{};
     std::map<std::string, std::shared_ptr<Link>> links_;
-    /// What each peer said of itself last.
-    struct PeerState
-    {
-        std::uint64_t revision = 0;
-        std::uint64_t digest = 0;
-    };
-    std::map<std::string, PeerState> peerStates_;
     std::set<std::shared_ptr<transport::OneShot>> watchers_;
     /// Connection to the host whose copy is followed.
     std::shared_ptr<transport::HttpConnection> watchConnection_;
--- a/coordination/peer_message.cpp
+++ b/coordination/peer_message.cpp
@@ -1,4 +1,4 @@
-#include "coordination/peer_exchange.h"
+#include "coordination/peer_message.h"
 
 #include <boost/json.hpp>
 
@@ -82,6 +82,8 @@
                       {"beats", std::move(heartbeats)},
                       {"digest", message.digest},
                       {"revision", message.revision}};
+    if (message.wantsRows)
+        text["wants_rows"] = true;
     if (message.wantsRecords)
         text["wants_records"] = true;
     if (message.delta) {
@@ -105,6 +107,7 @@
         const auto parsed = json::parse(text);
         const auto &object = parsed.as_object();
         message.revision = object.at("revision").to_number<std::uint64_t>();
+        message.wantsRows = object.contains("wants_rows");
         message.wantsRecords = object.contains("wants_records");
         message.digest = object.at("digest").to_number<std::uint64_t>();
         message.heartbeats = readHeartbeats(object.at("beats").as_array());
--- a/host/host_daemon.cpp
+++ b/host/host_daemon.cpp
@@ -71,7 +71,7 @@
       dispatchMetrics_(metrics_),
       context_{runtime_, dispatchMetrics_, [](std::uint64_t) {}},
       registry_(options_.regionOfDomain),
-      membership_(makeRow(options_)),
+      membership_(makeRow(options_), options_.farDeadTime),
       pool_(runtime, metrics_, hooks_.headers),
       services_(context_, registry_, options_.limits),
       forwarder_(runtime, metrics_, pool_, services_, forwarderOptions(options_, hooks_)),
@@ -244,6 +244,7 @@
         clockOffset_ = offset;
         last = now;
         services_.refresh(registry_.expire(now));
+        exchange_.expire();
         membership_.setStoreLost(follower_.isStoreLost());
         if (++ticks % TicksPerLoad == 0)
             updateLoad();
--- a/host/host_options.h
+++ b/host/host_options.h
@@ -35,6 +35,8 @@
     double cores = 1;
     /// Longest time that callers keep what the directory told them.
     std::chrono::milliseconds directoryTime{2000};
+    /// Time after which a silent host in another region counts as dead.
+    std::chrono::milliseconds farDeadTime = state::EntryMembership::FarDeadTime;
 };
 
 /// A key of the store that says nothing to this tier.
--- a/state/entry_membership.cpp
+++ b/state/entry_membership.cpp
@@ -21,7 +21,11 @@
     return XXH32(control.data(), control.size(), 0);
 }
 
-EntryMembership::EntryMembership(EntryRow self) : self_(std::move(self)) {}
+EntryMembership::EntryMembership(EntryRow self, std::chrono::milliseconds farDeadTime)
+    : self_(std::move(self)),
+      farDeadTime_(farDeadTime)
+{
+}
 
 void EntryMembership::setPhase(EntryPhase phase)
 {
@@ -46,7 +50,7 @@
             self_.incarnation = row.incarnation + 1;
         return false;
     }
-    const auto [found, isNew] = peers_.try_emplace(row.control, Peer{row, now});
+    const auto [found, isNew] = peers_.try_emplace(row.control, Peer{row, now, self_.heartbeat});
     if (isNew)
         return true;
     auto &peer = found->second;
@@ -55,7 +59,8 @@
         return false;
     const bool changed = !peer.live || peer.row.phase != row.phase
                          || peer.row.incarnation != row.incarnation || peer.row.front != row.front;
-    peer = {row, now};
+    const bool isNews = changed || peer.row.storeLost != row.storeLost;
+    peer = {row, now, isNews ? self_.heartbeat : peer.changedAtBeat};
     return changed;
 }
 
@@ -96,12 +101,24 @@
     return heartbeats;
 }
 
+std::vector<Heartbeat> EntryMembership::regionHeartbeats() const
+{
+    std::vector<Heartbeat> heartbeats;
+    for (const auto &row : liveRows()) {
+        if (row.region == self_.region)
+            heartbeats.push_back({hostId(row.control), row.heartbeat, row.load});
+    }
+    return heartbeats;
+}
+
 bool EntryMembership::expire(TimePoint now)
 {
     bool died = false;
     for (auto &[control, peer] : peers_) {
-        if (peer.live && now - peer.heardAt > DeadTime) {
+        const auto limit = peer.row.region == self_.region ? DeadTime : farDeadTime_;
+        if (peer.live && now - peer.heardAt > limit) {
             peer.live = false;
+            peer.changedAtBeat = self_.heartbeat;
             died = true;
         }
     }
@@ -128,6 +145,33 @@
     return rows;
 }
 
+std::vector<EntryRow> EntryMembership::newsFor(const std::string &peer) const
+{
+    std::vector<EntryRow> rows{self_};
+    for (const auto &[control, known] : peers_) {
+        if (known.live ? isNews(known) : control == peer)
+            rows.push_back(known.row);
+    }
+    return rows;
+}
+
+bool EntryMembership::isNews(const Peer &peer) const
+{
+    return self_.heartbeat - peer.changedAtBeat <= NewsBeats;
+}
+
+bool EntryMembership::isSettled() const
+{
+    return std::none_of(peers_.begin(), peers_.end(),
+                        [this](const auto &row) { return isNews(row.second); });
+}
+
+bool EntryMembership::isNear(const std::string &control) const
+{
+    const auto found = peers_.find(control);
+    return found != peers_.end() && found->second.row.region == self_.region;
+}
+
 std::vector<std::string> EntryMembership::livePeers() const
 {
     std::vector<std::string> peers;
--- a/state/entry_membership.h
+++ b/state/entry_membership.h
@@ -62,12 +62,19 @@
 class EntryMembership
 {
 public:
-    /// A host whose heartbeat stood still for this time counts as dead.
+    /// A host in the own region whose heartbeat stood still for this time counts as dead.
     static constexpr std::chrono::milliseconds DeadTime{3500};
+    /// The same for hosts in other regions, if the constructor is not told another time.
+    static constexpr std::chrono::milliseconds FarDeadTime{5000};
+    /// A changed row is passed on during this many heartbeats of this host, time for it to reach
+    /// all hosts of a region.
+    static constexpr std::uint64_t NewsBeats = 4;
     /// A dead host is forgotten after this time; until then its old rows cannot return.
     static constexpr std::chrono::seconds ForgetTime{60};
 
-    explicit EntryMembership(EntryRow self);
+    /// @param farDeadTime time after which a host in another region counts as dead; longer than
+    ///        DeadTime, since its heartbeats come through a few hosts only.
+    explicit EntryMembership(EntryRow self, std::chrono::milliseconds farDeadTime = FarDeadTime);
 
     /// Advances the heartbeat of this host.
     void beat() { ++self_.heartbeat; }
@@ -90,6 +97,9 @@
     /// @return heartbeats of this host and of all live ones.
     std::vector<Heartbeat> heartbeats() const;
 
+    /// @return those of heartbeats() whose hosts are in the own region.
+    std::vector<Heartbeat> regionHeartbeats() const;
+
     /// Notes the hosts whose heartbeat stood still too long, and forgets old ones.
     /// @return whether a host was found dead.
     bool expire(TimePoint now);
@@ -98,10 +108,18 @@
     std::vector<EntryRow> liveRows() const;
 
     /// @return liveRows() and the known row of @p peer even if that is dead: a host that started
-    /// anew
-    ///         with a lower incarnation learns from it that it must take a higher one.
+    ///         anew with a lower incarnation learns from it that it must take a higher one.
     std::vector<EntryRow> rowsFor(const std::string &peer) const;
 
+    /// @return the row of this host and those of rowsFor() that changed within NewsBeats.
+    std::vector<EntryRow> newsFor(const std::string &peer) const;
+
+    /// @return whether no row changed and no host died within NewsBeats.
+    bool isSettled() const;
+
+    /// @return whether @p control is a known host of the own region.
+    bool isNear(const std::string &control) const;
+
     /// @return control addresses of the live hosts without this one.
     std::vector<std::string> livePeers() const;
 
@@ -115,12 +133,16 @@
     {
         EntryRow row;
         TimePoint heardAt;
+        /// Heartbeat of this host when the row changed last, heartbeat and load aside.
+        std::uint64_t changedAtBeat = 0;
         bool live = true;
     };
 
     bool mergeOne(const EntryRow &row, TimePoint now);
+    bool isNews(const Peer &peer) const;
 
     EntryRow self_;
+    std::chrono::milliseconds farDeadTime_;
     std::map<std::string, Peer> peers_;
 };
 
--- a/tests/platform/test_settings_file.cpp
+++ b/tests/platform/test_settings_file.cpp
@@ -20,6 +20,7 @@
   directory: "127.0.0.1:8100"
 seed_nodes: ["127.0.0.1:8106"]
 bounds:
+  contact_ms: 4000
   retry_ratio: 0.2
   retry_burst: 52
   cold_excess: 1.5
@@ -56,6 +57,9 @@
     CHECK(host.retryRatio <= 0.2);
     CHECK(host.grace == std::chrono::seconds(6));
     CHECK(host.directoryTime == std::chrono::seconds(5));
+    // The directory may name a dead host for 7 s with this contact time.
+    CHECK(host.farDeadTime <= std::chrono::seconds(6));
+    CHECK(host.farDeadTime > state::EntryMembership::DeadTime);
     CHECK(host.seeds.size() == 1);
     CHECK(valueOf(parsed).store == "127.0.0.1:9000");
 }
