Take settings that change without a signal, and more than the seeds

Cause: the platform may change the settings file without SIGHUP, and a reload took only the seeds; limits, retry ratio, grace time and the time that callers keep the directory's answers stayed as they were at the start. Calls to the store were counted in a registry that /metrics did not show.

Change: host/file_watcher looks at time and size of the file each second; a bad file is refused as with SIGHUP. HostDaemon gets the registry of metrics, so that persimmon_store_calls_total is served.

Test: 'settings that change without a signal come into force, and a bad file does not' (real processes; not run without the change).

Ports of test hosts lie outside the range of ephemeral ports: in two of 64 soak runs, four side by side, a host did not become ready within 10 s, before any fault; the ports of two runs collide is the likely cause, not shown by a log.

--- a/forward/request_forwarder.h
+++ b/forward/request_forwarder.h
@@ -29,6 +29,9 @@
     /// Takes a new version of the configuration. Running requests keep theirs.
     void setRoutes(std::shared_ptr<const state::RouteTable> routes) { routes_ = std::move(routes); }
 
+    /// Takes the tokens that each first execution adds to the extra-load budget of its service.
+    void setExtraLoad(double tokens) { options_.extraLoad = tokens; }
+
     /// @return the configuration in force, or null.
     const std::shared_ptr<const state::RouteTable> &routes() const { return routes_; }
 
@@ -78,7 +81,7 @@
     transport::Metrics &metrics_;
     ForwardPool &pool_;
     ServiceSet &services_;
-    const ForwarderOptions options_;
+    ForwarderOptions options_;
     std::shared_ptr<const state::RouteTable> routes_;
     std::map<std::string, state::WeightedSplit> splits_;
     std::uint64_t nextId_ = 1;
--- a/forward/service_set.cpp
+++ b/forward/service_set.cpp
@@ -30,6 +30,12 @@
     refreshAll();
 }
 
+void ServiceSet::setLimits(const state::SharedLimits &limits)
+{
+    limits_ = limits;
+    refreshAll();
+}
+
 void ServiceSet::refresh(const std::set<std::string> &services)
 {
     for (const auto &[key, executor] : executors_) {
--- a/forward/service_set.h
+++ b/forward/service_set.h
@@ -34,6 +34,9 @@
     /// Takes the service settings of a new configuration.
     void setServices(std::map<std::string, state::ServiceInfo> services);
 
+    /// Takes changed limits that all hosts share.
+    void setLimits(const state::SharedLimits &limits);
+
     /// Takes the place of this host among the live ones.
     void setShare(const state::HostShare &share);
 
@@ -48,7 +51,7 @@
 
     dispatch::ExecutorContext &context_;
     const state::UpstreamRegistry &registry_;
-    const state::SharedLimits limits_;
+    state::SharedLimits limits_;
     const std::shared_ptr<state::TimingBook> timings_ = std::make_shared<state::TimingBook>();
     std::map<std::string, state::ServiceInfo> services_;
     state::HostShare share_;
--- a/host/host.h
+++ b/host/host.h
@@ -1,4 +1,5 @@
 #pragma once
 
+#include "host/file_watcher.h"
 #include "host/host_daemon.h"
 #include "host/host_options.h"
--- a/host/host_daemon.cpp
+++ b/host/host_daemon.cpp
@@ -64,10 +64,12 @@
 
 } // namespace
 
-HostDaemon::HostDaemon(transport::Runtime &runtime, HostOptions options, HostHooks hooks)
+HostDaemon::HostDaemon(transport::Runtime &runtime, transport::Metrics &metrics,
+                       HostOptions options, HostHooks hooks)
     : runtime_(runtime),
       options_(std::move(options)),
       hooks_(std::move(hooks)),
+      metrics_(metrics),
       dispatchMetrics_(metrics_),
       context_{runtime_, dispatchMetrics_, [](std::uint64_t) {}},
       registry_(options_.regionOfDomain),
@@ -131,9 +133,19 @@
 
 void HostDaemon::reload(const HostOptions &options)
 {
-    exchange_.setSeeds(options.seeds);
+    options_.seeds = options.seeds;
+    options_.limits = options.limits;
+    options_.retryRatio = options.retryRatio;
+    options_.grace = options.grace;
+    options_.directoryTime = options.directoryTime;
+    exchange_.setSeeds(options_.seeds);
+    services_.setLimits(options_.limits);
+    forwarder_.setExtraLoad(options_.retryRatio);
     transport::logInfo(Part, "settings reloaded",
-                       {{"seeds", std::to_string(options.seeds.size())}});
+                       {{"seeds", std::to_string(options_.seeds.size())},
+                        {"retry_burst", std::to_string(options_.limits.retryBurst)},
+                        {"retry_ratio", std::to_string(options_.retryRatio)},
+                        {"grace_ms", std::to_string(options_.grace.count())}});
 }
 
 void HostDaemon::onNews(const std::vector<state::StoreRecord> &news)
--- a/host/host_daemon.h
+++ b/host/host_daemon.h
@@ -13,13 +13,15 @@
 class HostDaemon
 {
 public:
-    HostDaemon(transport::Runtime &runtime, HostOptions options, HostHooks hooks);
+    /// @param metrics what GET /metrics shows; parts outside the daemon may add theirs.
+    HostDaemon(transport::Runtime &runtime, transport::Metrics &metrics, HostOptions options,
+               HostHooks hooks);
 
     /// Opens all listeners and begins to follow the store and the other hosts.
     /// @return the first error.
     Status<transport::TransportError> start();
 
-    /// Takes changed seeds.
+    /// Takes changed settings: seeds, limits, and times. Addresses and places need a restart.
     void reload(const HostOptions &options);
 
     /// Stops being ready, serves what still arrives, and ends the runtime before the grace time is
@@ -44,9 +46,9 @@
     void addGauges();
 
     transport::Runtime &runtime_;
-    const HostOptions options_;
+    HostOptions options_;
     const HostHooks hooks_;
-    transport::Metrics metrics_;
+    transport::Metrics &metrics_;
     dispatch::DispatchMetrics dispatchMetrics_;
     dispatch::ExecutorContext context_;
     state::UpstreamRegistry registry_;
--- a/main/persimmon_host.cpp
+++ b/main/persimmon_host.cpp
@@ -33,19 +33,23 @@
     return port == 0 ? "" : front.substr(0, front.rfind(':') + 1) + std::to_string(port);
 }
 
-/// Calls the daemon when the settings file may have changed.
+void reload(host::HostDaemon &daemon, const std::string &path)
+{
+    const auto loaded = platform::loadSettings(path);
+    if (isOk(loaded))
+        daemon.reload(valueOf(loaded).host);
+    else
+        transport::logError("host", "settings kept; the file is invalid",
+                            {{"reason", errorOf(loaded).message}});
+}
+
 asio::awaitable<void> reloadOnHangup(transport::Runtime &runtime, host::HostDaemon &daemon,
                                      std::string path)
 {
     asio::signal_set signals(runtime.context(), SIGHUP);
     while (true) {
         co_await signals.async_wait(asio::use_awaitable);
-        const auto loaded = platform::loadSettings(path);
-        if (isOk(loaded))
-            daemon.reload(valueOf(loaded).host);
-        else
-            transport::logError("host", "settings kept; the file is invalid",
-                                {{"reason", errorOf(loaded).message}});
+        reload(daemon, path);
     }
 }
 
@@ -62,15 +66,15 @@
     transport::Runtime runtime(1);
     transport::LogWriter logs(runtime);
     logs.install();
-    transport::Metrics storeMetrics;
-    platform::StoreClient store(runtime, storeMetrics, file.store);
+    transport::Metrics metrics;
+    platform::StoreClient store(runtime, metrics, file.store);
     host::HostHooks hooks;
     hooks.store = store.hooks();
     hooks.interpret = platform::interpretRecord;
     hooks.headers = platform::headerNames();
     hooks.readLocate = platform::readLocate;
     hooks.formatLocate = platform::formatLocate;
-    host::HostDaemon daemon(runtime, file.host, hooks);
+    host::HostDaemon daemon(runtime, metrics, file.host, hooks);
     const auto started = daemon.start();
     if (!isOk(started)) {
         transport::logError("host", "start failed", {{"reason", errorOf(started).message}});
@@ -79,6 +83,9 @@
     }
     runtime.onTermination([&] { runtime.spawn(daemon.shutDown()); });
     runtime.spawn(reloadOnHangup(runtime, daemon, path));
+    // The platform may change the file without a signal.
+    host::FileWatcher watcher(runtime, path, [&] { reload(daemon, path); });
+    watcher.start();
     runtime.run();
     logs.flush();
     return 0;
--- a/tests/system/platform_cluster.cpp
+++ b/tests/system/platform_cluster.cpp
@@ -7,6 +7,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <random>
 #include <thread>
 
 namespace persimmon::tests {
@@ -15,19 +16,26 @@
 
 constexpr std::chrono::milliseconds PollInterval{20};
 
-/// @return a port that is free now.
+/// @return a port that is free now, outside the range from which connections get theirs: one of
+///         another test may otherwise take it before the host listens.
 int freePort()
 {
-    const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    if (::bind(socket, reinterpret_cast<sockaddr *>(&address), sizeof address) != 0)
-        std::abort();
-    socklen_t size = sizeof address;
-    ::getsockname(socket, reinterpret_cast<sockaddr *>(&address), &size);
-    ::close(socket);
-    return ntohs(address.sin_port);
+    constexpr int First = 10'000;
+    constexpr int Last = 32'000;
+    static std::mt19937 random{std::random_device{}()};
+    while (true) {
+        const int port = std::uniform_int_distribution<int>(First, Last)(random);
+        const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(static_cast<std::uint16_t>(port));
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        const bool free =
+                ::bind(socket, reinterpret_cast<sockaddr *>(&address), sizeof address) == 0;
+        ::close(socket);
+        if (free)
+            return port;
+    }
 }
 
 std::string local(int port)
@@ -44,21 +52,21 @@
 
 } // namespace
 
-PlatformCluster::PlatformCluster()
-    : folder_(std::filesystem::temp_directory_path()
+PlatformCluster::PlatformCluster(PlatformPlan plan)
+    : plan_(std::move(plan)),
+      folder_(std::filesystem::temp_directory_path()
               / ("persimmon-platform-" + std::to_string(::getpid()) + "-"
                  + std::to_string(freePort()))),
-      store_(runtime_),
-      serviceOf_{{"a1", "shard-a"}, {"a2", "shard-a"}, {"b1", "shard-b"},
-                 {"b2", "shard-b"}, {"p1", "pay"},     {"p2", "pay"}}
+      store_(runtime_)
 {
     std::filesystem::create_directories(folder_);
     const auto bound = store_.listen(valueOf(transport::parseEndpoint("127.0.0.1:0")));
     storeAddress_ = transport::formatEndpoint(valueOf(bound));
     runtime_.start();
-    for (const auto &[id, service] : serviceOf_) {
+    for (const auto &[id, service] : plan_.serviceOf) {
         upstreams_[id] = std::make_unique<RawUpstream>(
                 [this, id = id](const std::string &request) { return answer(id, request); });
+        addresses_[id] = plan_.routeToUpstream(id, upstreams_.at(id)->address());
         registerUpstream(id, "ready");
     }
     configure(1, "/g/");
@@ -83,7 +91,12 @@
     processes_[host] = std::make_unique<Process>(
             std::vector<std::string>{program, "--settings-file", settingsPath(host),
                                      "--metrics-port", std::to_string(ports_.at(host).metrics)},
-            folder_ + "/host" + std::to_string(host) + ".log");
+            logPath(host));
+}
+
+std::string PlatformCluster::logPath(int host) const
+{
+    return folder_ + "/host" + std::to_string(host) + ".log";
 }
 
 std::string PlatformCluster::settingsPath(int host) const
@@ -91,7 +104,7 @@
     return folder_ + "/host" + std::to_string(host) + ".yaml";
 }
 
-void PlatformCluster::writeSettings(int host) const
+void PlatformCluster::writeSettings(int host, int keepSeconds) const
 {
     const auto &ports = ports_.at(host);
     std::ofstream file(settingsPath(host));
@@ -101,8 +114,19 @@
          << "\n  ready_addr: " << local(ports.ready) << "\n  control: " << local(ports.control)
          << "\nseed_nodes: [\"" << local(ports_.at(1).control) << "\", \""
          << local(ports_.at(2).control) << "\"]\n"
-         << "bounds: {retry_ratio: 0.2, retry_burst: 52, grace_s: 3, ttl_max_s: 2}\n"
-         << "platform:\n  address: " << storeAddress_ << "\n";
+         << "bounds: {retry_ratio: 0.2, retry_burst: 52, grace_s: 3, ttl_max_s: " << keepSeconds
+         << "}\n"
+         << "platform:\n  address: " << plan_.routeToStore(host, storeAddress_) << "\n";
+}
+
+void PlatformCluster::changeSettings(int host, int keepSeconds)
+{
+    writeSettings(host, keepSeconds);
+}
+
+void PlatformCluster::breakSettings(int host)
+{
+    std::ofstream(settingsPath(host)) << "node_name: [";
 }
 
 void PlatformCluster::configure(std::uint64_t version, const std::string &prefix)
@@ -120,8 +144,7 @@
 void PlatformCluster::registerUpstream(const std::string &id, const std::string &state)
 {
     store_.put("servers/" + id,
-               R"({"service":")" + serviceOf_.at(id) + R"(","address":")"
-                       + upstreams_.at(id)->address()
+               R"({"service":")" + plan_.serviceOf.at(id) + R"(","address":")" + addresses_.at(id)
                        + R"(","zone":"z1","version":"v","concurrency_limit":4,"state":")" + state
                        + R"(","cold_left_ms":0,"sequence":1,"born":1})");
 }
@@ -135,9 +158,11 @@
         const std::lock_guard lock(mutex_);
         ++runs_[fieldOf(request, "X-Request-Id")];
     }
+    if (plan_.answer)
+        return plan_.answer(id, request);
     if (loseAnswers_)
         return {"", true};
-    const auto stamp = "X-Response-Stamp: " + serviceOf_.at(id) + "\r\n";
+    const auto stamp = "X-Response-Stamp: " + plan_.serviceOf.at(id) + "\r\n";
     RawAnswer result{makeAnswer(std::string(16, id.front()), "", stamp)};
     result.delay = std::chrono::milliseconds(5);
     return result;
@@ -181,6 +206,15 @@
     return local(ports_.at(host).front);
 }
 
+std::string PlatformCluster::lastLogLine(int host) const
+{
+    std::ifstream log(logPath(host));
+    std::string last;
+    for (std::string line; std::getline(log, line);)
+        last = line;
+    return last;
+}
+
 std::string PlatformCluster::locate(int host) const
 {
     return bodyOf(get(ports_.at(host).directory, "/resolve?name=h.example&region=r&zone=z1"));
--- a/tests/system/platform_cluster.h
+++ b/tests/system/platform_cluster.h
@@ -12,14 +12,36 @@
 
 namespace persimmon::tests {
 
+/// What stands behind the hosts of a PlatformCluster, and on which ways they reach it.
+struct PlatformPlan
+{
+    /// Gets the id of an upstream and a whole request that names this upstream as expected.
+    using Answerer = std::function<RawAnswer(const std::string &id, const std::string &request)>;
+
+    /// Service of each upstream, by id.
+    std::map<std::string, std::string> serviceOf{{"a1", "shard-a"}, {"a2", "shard-a"},
+                                                 {"b1", "shard-b"}, {"b2", "shard-b"},
+                                                 {"p1", "pay"},     {"p2", "pay"}};
+    /// Answers requests in place of PlatformCluster.
+    Answerer answer = {};
+    /// Gives the address under which an upstream is registered; gets its id and its own address.
+    std::function<std::string(const std::string &id, const std::string &address)> routeToUpstream =
+            [](const std::string & /*id*/, const std::string &address) { return address; };
+    /// Gives the address under which a host reaches the store; gets the store's own address.
+    std::function<std::string(int host, const std::string &address)> routeToStore =
+            [](int /*host*/, const std::string &address) { return address; };
+};
+
 /// Entry hosts of the platform as real processes, with its store and upstreams in this process: one
 /// region, two shards of two upstreams each, and a service for requests that must not run twice.
 class PlatformCluster
 {
 public:
     static constexpr int HostCount = 3;
+    /// Time that callers keep the directory's answers.
+    static constexpr int DefaultKeepSeconds = 2;
 
-    PlatformCluster();
+    explicit PlatformCluster(PlatformPlan plan = {});
     ~PlatformCluster();
     PlatformCluster(const PlatformCluster &) = delete;
     PlatformCluster &operator=(const PlatformCluster &) = delete;
@@ -49,9 +71,21 @@
     std::string callAs(const std::string &id, int host, const std::string &target,
                        const std::string &method = "GET") const;
 
+    /// Writes the settings file of a host anew, with another time that callers keep its answers.
+    void changeSettings(int host, int keepSeconds);
+
+    /// Writes a settings file that cannot be read.
+    void breakSettings(int host);
+
     /// @return "127.0.0.1:port" of the front of a host.
     std::string front(int host) const;
 
+    /// @return port of the front of a host.
+    int frontPort(int host) const { return ports_.at(host).front; }
+
+    /// @return the last line that a host logged.
+    std::string lastLogLine(int host) const;
+
     /// @return the addresses that a host names to callers.
     std::string locate(int host) const;
 
@@ -78,15 +112,17 @@
     };
 
     RawAnswer answer(const std::string &id, const std::string &request);
-    void writeSettings(int host) const;
+    void writeSettings(int host, int keepSeconds = DefaultKeepSeconds) const;
     std::string settingsPath(int host) const;
+    std::string logPath(int host) const;
 
+    const PlatformPlan plan_;
     std::string folder_;
     transport::Runtime runtime_{2};
     standin::RecordStore store_;
     std::string storeAddress_;
     std::map<int, Ports> ports_;
-    std::map<std::string, std::string> serviceOf_;
+    std::map<std::string, std::string> addresses_;
     mutable std::mutex mutex_;
     std::map<std::string, int> runs_;
     std::atomic<bool> loseAnswers_ = false;
--- a/tests/system/test_platform_hosts.cpp
+++ b/tests/system/test_platform_hosts.cpp
@@ -128,3 +128,20 @@
     for (const auto &id : unanswered)
         CHECK_MESSAGE(!runs.contains(id), id);
 }
+
+TEST_CASE("settings that change without a signal come into force, and a bad file does not")
+{
+    // Guards against a host that goes on with old limits because nobody told it of new ones.
+    PlatformCluster cluster;
+    waitForAll(cluster);
+    const auto hasKeepTime = [&](const std::string &time) {
+        return cluster.locate(1).find("\"ttl_s\":" + time) != std::string::npos;
+    };
+    CHECK(hasKeepTime("2"));
+    cluster.changeSettings(1, 4);
+    CHECK(cluster.waitUntil([&] { return hasKeepTime("4"); }, seconds(3)));
+    cluster.breakSettings(1);
+    std::this_thread::sleep_for(milliseconds(1500));
+    CHECK(hasKeepTime("4"));
+    CHECK(statusOf(cluster.call(1, "/g/q")) == 200);
+}
