Warm upstreams up again after a takeover and after a time unheard

An owner that takes a service over, or an upstream that was idle for the time of a restart, then got three requests at once while it bears two.

Change: a share that grows starts the ramp at one execution, which rises after as many successes as the cold limit. An upstream that was idle for 300 ms stays at the cold limit until an answer of the same incarnation.

Tests, both red before: 'an owner that takes a service over warms its upstreams up from one execution', 'an upstream that was idle is sent one request before it counts as warm'.

--- a/state/replica_set.cpp
+++ b/state/replica_set.cpp
@@ -21,6 +21,8 @@
 /// An upstream whose address answers for another one is gone; its record is removed within this
 /// time.
 constexpr std::chrono::seconds ReplacedTime{5};
+/// No upstream restarts within this time. One that was idle for longer may have done so unseen.
+constexpr std::chrono::milliseconds WarmthAge{300};
 /// An upstream that takes this many times as long as the fastest one counts as slow.
 constexpr int SlowFactor = 2;
 /// The time after which a slow upstream is tried again doubles up to this one while it stays slow.
@@ -240,6 +242,8 @@
     for (auto &[other, replica] : replicas_)
         ++replica.passedOver;
     auto &started = replicas_.at(name);
+    if (started.inFlight == 0 && now - started.lastEnd > WarmthAge)
+        started.ramp.doubt();
     started.passedOver = 0;
     ++started.inFlight;
     started.starts.push_back(now);
--- a/state/upstream_ramp.cpp
+++ b/state/upstream_ramp.cpp
@@ -26,22 +26,34 @@
 void UpstreamRamp::configure(std::uint32_t coldLimit, std::uint32_t share, std::uint32_t slots)
 {
     coldLimit_ = coldLimit;
+    const bool takesOver = share > share_;
     share_ = share;
     slots_ = slots;
     warmth_ = std::min(warmth_, slots_);
+    // The upstream may have restarted while its former owner used it, and executions of that owner
+    // may still run.
+    if (takesOver) {
+        restart();
+        warmth_ = 1;
+    }
 }
 
 std::uint32_t UpstreamRamp::limit() const
 {
-    if (!enabled_ || warmth_ >= slots_)
+    if (!enabled_)
+        return share_;
+    const auto cold = std::max(coldLimit_, 1U);
+    const auto warmth = doubtful_ ? std::min(warmth_, cold) : warmth_;
+    if (warmth >= slots_)
         return share_;
     const bool partOwner = share_ < slots_;
-    return std::min({warmth_, share_, partOwner ? std::max(coldLimit_, 1U) : warmth_});
+    return std::min({warmth, share_, partOwner ? cold : warmth});
 }
 
 void UpstreamRamp::onSuccess(const std::string &incarnation, Duration latency)
 {
     onIncarnation(incarnation);
+    doubtful_ = false;
     const auto median = latency_.median();
     slowAnswers_ = median && latency > *median * SlowFactor ? slowAnswers_ + 1 : 0;
     latency_.record(latency);
@@ -49,7 +61,7 @@
         restart();
         return;
     }
-    if (warmth_ >= slots_ || ++successes_ < warmth_)
+    if (warmth_ >= slots_ || ++successes_ < std::max(warmth_, coldLimit_))
         return;
     ++warmth_;
     successes_ = 0;
--- a/state/upstream_ramp.h
+++ b/state/upstream_ramp.h
@@ -16,7 +16,7 @@
     /// @param enabled false allows the whole share at once, for measurements.
     UpstreamRamp(std::uint32_t coldLimit, std::uint32_t share, std::uint32_t slots, bool enabled);
 
-    /// Takes changed settings. What is known of the warm-up is kept.
+    /// Takes changed settings. What is known of the warm-up is kept, unless the share grows.
     void configure(std::uint32_t coldLimit, std::uint32_t share, std::uint32_t slots);
 
     /// Notes a success and its latency.
@@ -35,6 +35,10 @@
     /// Starts again at the cold limit, for example after a connection reset.
     void restart();
 
+    /// Notes that nothing was heard of the upstream for a while, so that it may have restarted. It
+    /// stays at the cold limit until a success of the same incarnation shows that it has not.
+    void doubt() { doubtful_ = true; }
+
     /// @return executions that may run at the same time. An owner of a part of the slots stays at
     ///         the cold limit until its own successes have warmed the upstream up: a warm-up that
     ///         two owners share is counted twice, and together they would exceed what it bears.
@@ -51,6 +55,7 @@
     std::uint32_t warmth_ = 1;
     std::uint32_t successes_ = 0;
     std::uint32_t slowAnswers_ = 0;
+    bool doubtful_ = false;
     std::string incarnation_;
     LatencyRecord latency_;
 };
--- a/tests/state/test_service_scheduler.cpp
+++ b/tests/state/test_service_scheduler.cpp
@@ -433,3 +433,67 @@
         }
     }
 }
+
+TEST_CASE("an owner that takes a service over warms its upstreams up from one execution")
+{
+    // Guards against an overload of upstreams that restarted while another owner used them: with
+    // nothing in flight there, the new owner has seen no lost connection, and executions of the
+    // former owner and of the next one in the ranking still run beside its own.
+    constexpr std::uint32_t Slots = 3;
+    constexpr std::uint32_t ColdLimit = 2;
+    UpstreamRamp ramp(ColdLimit, shareOfSlots(Slots, false), Slots, true);
+    const auto succeed = [&ramp](std::uint32_t times) {
+        for (std::uint32_t i = 0; i < times; ++i)
+            ramp.onSuccess("a", std::chrono::milliseconds(2));
+    };
+    succeed(30);
+    ramp.configure(ColdLimit, shareOfSlots(Slots, true), Slots);
+    CHECK(ramp.limit() == 1);
+    succeed(ColdLimit - 1);
+    CHECK(ramp.limit() == 1);
+    succeed(1);
+    CHECK(ramp.limit() == ColdLimit);
+    succeed(ColdLimit);
+    CHECK(ramp.limit() == Slots);
+    // The same share again says nothing new.
+    ramp.configure(ColdLimit, shareOfSlots(Slots, true), Slots);
+    CHECK(ramp.limit() == Slots);
+}
+
+TEST_CASE("an upstream that was idle is sent one request before it counts as warm")
+{
+    // Load pattern: a burst for an upstream that restarted while nothing was in flight there.
+    // Guards against a burst of the size that it bore before, which overloads it while cold.
+    using std::chrono::milliseconds;
+    ReplicaSet replicas;
+    const protocol::HostRecord a{"a", protocol::HostKind::Upstream, "127.0.0.1:1", "d", "s"};
+    replicas.configure({{a}, 3, 3, 1, true, true});
+    TimePoint now{std::chrono::hours(1)};
+    const auto answer = [&](const std::string &incarnation) {
+        AttemptResult result;
+        result.end = AttemptEnd::Answered;
+        result.incarnation = incarnation;
+        replicas.onEnded("a", result, 1, milliseconds(5), now);
+    };
+    const auto isFound = [&] {
+        return replicas.choose(1, {}, now).availability == ReplicaSet::Availability::Found;
+    };
+    for (int i = 0; i < 20; ++i) {
+        replicas.onStarted("a", now);
+        now += milliseconds(5);
+        answer("first");
+    }
+    for (const auto *incarnation : {"first", "second"}) {
+        now += std::chrono::seconds(1);
+        replicas.onStarted("a", now);
+        CHECK_FALSE(isFound());
+        now += milliseconds(5);
+        answer(incarnation);
+        replicas.onStarted("a", now);
+        replicas.onStarted("a", now);
+        // The same incarnation is warm still; a new one has had one success of the cold phase.
+        CHECK(isFound() == (std::string(incarnation) == "first"));
+        answer(incarnation);
+        answer(incarnation);
+    }
+}
