Keep the slot of a cancelled execution until its upstream was told

The stand-in's lines show 'running:37' of an execution that its dispatcher no longer counted.

Change: execute() ends with Cancelled when /v1/cancel was answered, or after its limit of 0.5 s. The stand-in logs the tasks of an overloaded upstream.

--- a/dispatch/upstream_pool.cpp
+++ b/dispatch/upstream_pool.cpp
@@ -16,6 +16,7 @@
 constexpr std::chrono::milliseconds HealthTimeout{200};
 /// Limit for the post of a cancellation, which is advisory.
 constexpr std::chrono::milliseconds CancelTimeout{500};
+constexpr std::chrono::milliseconds CancelPoll{2};
 
 DispatchErrorCode convertCode(transport::TransportErrorCode code)
 {
@@ -100,18 +101,27 @@
         running_[work->key] = {work->lease.connection};
     }
     auto result = co_await exchange(*work);
-    bool cancelled = false;
+    CancelToken told;
     {
         const std::lock_guard lock(mutex_);
-        cancelled = running_[work->key].cancelled;
+        told = running_[work->key].told;
         running_.erase(work->key);
     }
     work->connections->release(work->lease.connection, runtime_.clock().now());
-    if (cancelled && !isOk(result))
+    if (told && !isOk(result)) {
+        co_await waitUntilTold(told);
         co_return DispatchError{DispatchErrorCode::Cancelled, "cancelled", errorOf(result).written};
+    }
     co_return result;
 }
 
+asio::awaitable<void> UpstreamPool::waitUntilTold(CancelToken token)
+{
+    const auto end = runtime_.clock().now() + CancelTimeout;
+    while (!*token && runtime_.clock().now() < end)
+        co_await runtime_.clock().sleep(CancelPoll);
+}
+
 asio::awaitable<Status<DispatchError>> UpstreamPool::open(Work &work)
 {
     auto &connection = work.lease.connection;
@@ -177,6 +187,7 @@
     if (!isOk(endpoint))
         return;
     bool found = false;
+    const auto token = std::make_shared<std::atomic<bool>>(false);
     {
         const std::lock_guard lock(mutex_);
         const RunKey first{upstream.address, execution.requestId, execution.attempt, {}};
@@ -184,25 +195,31 @@
              run != running_.end() && run->first.address == first.address
              && run->first.requestId == first.requestId && run->first.attempt == first.attempt;
              ++run) {
-            found = found || !run->second.cancelled;
-            run->second.cancelled = true;
+            if (!run->second.told) {
+                found = true;
+                run->second.told = token;
+            }
             run->second.connection->close();
         }
     }
     if (!found)
         return;
-    runtime_.spawn(postCancel(connectionsOf(upstream.address), valueOf(endpoint), execution));
+    runtime_.spawn(
+            postCancel(connectionsOf(upstream.address), valueOf(endpoint), execution, token));
 }
 
 asio::awaitable<void> UpstreamPool::postCancel(std::shared_ptr<UpstreamConnections> connections,
                                                transport::Endpoint endpoint,
-                                               protocol::CancelExecution execution)
+                                               protocol::CancelExecution execution,
+                                               CancelToken token)
 {
     // The limit does not apply: the connection that this one replaces has just been closed.
     constexpr auto NoLimit = std::numeric_limits<std::size_t>::max();
     auto lease = co_await connections->acquire(runtime_.clock(), NoLimit, CancelTimeout);
-    if (!lease)
+    if (!lease) {
+        *token = true;
         co_return;
+    }
     auto connection = lease->connection;
     if (!connection)
         connection = std::make_shared<transport::HttpConnection>(runtime_.makeStrand());
@@ -217,6 +234,7 @@
         co_await connection->send(message, CancelTimeout);
     };
     co_await asio::co_spawn(connection->executor(), post, asio::use_awaitable);
+    *token = true;
     connections->release(connection, runtime_.clock().now());
 }
 
@@ -224,7 +242,7 @@
 {
     const std::lock_guard lock(mutex_);
     const auto found = running_.find(key);
-    return found != running_.end() && found->second.cancelled;
+    return found != running_.end() && found->second.told != nullptr;
 }
 
 std::shared_ptr<UpstreamConnections> UpstreamPool::connectionsOf(const std::string &address)
--- a/dispatch/upstream_pool.h
+++ b/dispatch/upstream_pool.h
@@ -5,6 +5,7 @@
 #include "protocol/protocol.h"
 #include "transport/transport.h"
 
+#include <atomic>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -33,16 +34,20 @@
     execute(const protocol::HostRecord &upstream, const protocol::ExecuteRequest &request,
             transport::Duration timeout, std::size_t connectionLimit, bool repeatable = true);
 
-    /// Closes the connection of a running execution, whose execute() ends with Cancelled, and posts
-    /// /v1/cancel on another connection. Does nothing when the execution has ended or still waits
-    /// for a connection.
+    /// Closes the connection of a running execution and posts /v1/cancel on another connection.
+    /// execute() ends with Cancelled when the upstream has been told: until then it may still run
+    /// the request, so that its slot is not free. Does nothing when the execution has ended or
+    /// still waits for a connection.
     void cancel(const protocol::HostRecord &upstream, const protocol::CancelExecution &execution);
 
 private:
+    /// Whether the upstream was told of a cancellation, or could not be.
+    using CancelToken = std::shared_ptr<std::atomic<bool>>;
     struct Run
     {
         std::shared_ptr<transport::HttpConnection> connection;
-        bool cancelled = false;
+        /// Set once the execution is cancelled.
+        CancelToken told = {};
     };
     struct Work;
     /// Attempts are unique only within one request id and shard.
@@ -67,7 +72,8 @@
     ExecuteResult checkReply(const Work &work, const transport::HttpResponse &response);
     boost::asio::awaitable<void> postCancel(std::shared_ptr<UpstreamConnections> connections,
                                             transport::Endpoint endpoint,
-                                            protocol::CancelExecution execution);
+                                            protocol::CancelExecution execution, CancelToken token);
+    boost::asio::awaitable<void> waitUntilTold(CancelToken token);
     bool isCancelled(const RunKey &key) const;
 
     transport::Runtime &runtime_;
--- a/standin/upstream.cpp
+++ b/standin/upstream.cpp
@@ -133,6 +133,7 @@
     const auto task =
             std::make_shared<Task>(co_await asio::this_coro::executor, takeValue(decoded));
     task->life = life_;
+    task->arrivedAt = runtime_.clock().now();
     if (faults_.draining)
         co_return refuse(UpstreamRefusal::Draining);
     if (faults_.shed)
@@ -144,6 +145,7 @@
         co_return refuse(UpstreamRefusal::Shed);
     if (admission == Admission::Overload) {
         ++log_.counters(settings_.name).coldOverloads;
+        logOverload();
         crash();
         co_return co_await waitForClose();
     }
@@ -159,6 +161,26 @@
     co_return co_await runTask(task);
 }
 
+void Upstream::logOverload() const
+{
+    std::string tasks;
+    for (const auto &task : tasks_) {
+        const auto age = std::chrono::round<std::chrono::milliseconds>(runtime_.clock().now()
+                                                                       - task->arrivedAt);
+        tasks.append(tasks.empty() ? "" : " ")
+                .append(task->request.requestId)
+                .append("#")
+                .append(std::to_string(task->request.attempt))
+                .append(task->running ? ":running:" : ":waiting:")
+                .append(task->cancelled ? "cancelled:" : "")
+                .append(std::to_string(age.count()));
+    }
+    transport::logWarning("standin", "a cold upstream is overloaded",
+                          {{"upstream", settings_.name},
+                           {"limit", std::to_string(slots_.limit())},
+                           {"tasks", tasks}});
+}
+
 Upstream::Response Upstream::runTask(TaskPointer task)
 {
     if (task->life != life_)
--- a/standin/upstream.h
+++ b/standin/upstream.h
@@ -81,6 +81,7 @@
         bool running = false;
         bool cancelled = false;
         std::uint64_t life = 0;
+        transport::TimePoint arrivedAt{};
     };
     using TaskPointer = std::shared_ptr<Task>;
     using Response = boost::asio::awaitable<transport::HttpResponse>;
@@ -89,6 +90,7 @@
     Response handle(std::shared_ptr<Connection> connection, transport::HttpRequest request);
     Response handleExecute(transport::HttpRequest request);
     Response runTask(TaskPointer task);
+    void logOverload() const;
     transport::HttpResponse handleCancel(const transport::HttpRequest &request);
     transport::HttpResponse healthResponse() const;
     transport::HttpResponse loadResponse() const;
