--- a/state/service_scheduler.cpp
+++ b/state/service_scheduler.cpp
@@ -96,44 +96,16 @@
 void ServiceScheduler::applyEnd(SchedulerActions &actions, Sub &sub, const Attempt &ended,
                                 AttemptResult &result, TimePoint now)
 {
-    bool executed = false;
-    switch (result.end) {
-    case AttemptEnd::Answered:
+    if (result.end == AttemptEnd::Answered) {
         onAnswered(actions, sub, ended, result);
         return;
-    case AttemptEnd::BadRequest:
+    }
+    if (result.end == AttemptEnd::BadRequest) {
         cancelAttempts(actions, sub);
         reply(actions, sub, protocol::SubError::Malformed);
         return;
-    case AttemptEnd::SnapshotMissing:
-        sub.lastError = protocol::SubError::SnapshotMissing;
-        break;
-    case AttemptEnd::Shed:
-        sub.lastError = protocol::SubError::Overloaded;
-        break;
-    case AttemptEnd::Draining:
-    case AttemptEnd::NotWritten:
-    case AttemptEnd::Replaced:
-        sub.lastError = protocol::SubError::NoUpstream;
-        break;
-    case AttemptEnd::TimedOut:
-    case AttemptEnd::Cancelled:
-        sub.lastError = protocol::SubError::DeadlineExceeded;
-        executed = result.written;
-        break;
-    case AttemptEnd::Lost:
-    case AttemptEnd::Dropped:
-        sub.lastError = protocol::SubError::ConnectionLost;
-        executed = true;
-        break;
-    case AttemptEnd::Failed:
-        sub.lastError = protocol::SubError::UpstreamFailed;
-        sub.failure = std::move(result.answer);
-        executed = true;
-        break;
     }
-    sub.mayHaveExecuted = sub.mayHaveExecuted || executed;
-    sub.arrived = sub.arrived || result.end != AttemptEnd::NotWritten;
+    const bool executed = sub.noteEnd(result);
     // Any further attempt may be one more arrival, whatever this one ended with.
     retryOrReply(actions, sub, executed, chargeRefusals_ && sub.arrived, now);
 }
@@ -199,11 +171,9 @@
 {
     SchedulerActions actions;
     timerAt_.reset();
-    while (!dues_.empty() && dues_.begin()->at <= now) {
-        const auto id = dues_.begin()->id;
-        dues_.erase(dues_.begin());
-        onDue(actions, subs_.at(id), now);
-        removeIfDone(id);
+    while (const auto id = dues_.takeDue(now)) {
+        onDue(actions, subs_.at(*id), now);
+        removeIfDone(*id);
     }
     return finish(std::move(actions), now);
 }
@@ -235,7 +205,7 @@
     if (!hedging_ || sub.work.canary || crashes_.isSuspect(sub.work.fingerprint)
         || queue_.size() > 0)
         return;
-    if (sub.work.upstreamLimit > 0 && sub.used.size() >= sub.work.upstreamLimit)
+    if (sub.hasUsedAll())
         return;
     const auto choice =
             replicas_.choose(sub.work.snapshot, {sub.attempts.front().upstream.name}, now);
@@ -303,9 +273,7 @@
 
 std::optional<TimePoint> ServiceScheduler::nextEvent(TimePoint now) const
 {
-    std::optional<TimePoint> next;
-    if (!dues_.empty())
-        next = dues_.begin()->at;
+    const auto next = dues_.next();
     if (queue_.size() == 0)
         return next;
     // Nothing else wakes work that waits for a cold upstream.
@@ -315,25 +283,16 @@
 
 ReplicaSet::Choice ServiceScheduler::choose(const Sub &sub, TimePoint now, bool mayProbe) const
 {
-    const auto limit = sub.work.upstreamLimit;
+    const auto snapshot = sub.work.snapshot;
     if (sub.used.empty())
-        return replicas_.choose(sub.work.snapshot, {}, now, mayProbe);
-    if (limit == 0 || sub.used.size() < limit) {
+        return replicas_.choose(snapshot, {}, now, mayProbe);
+    if (!sub.hasUsedAll()) {
         // A retry goes to another upstream, unless there is none.
-        const auto other = replicas_.choose(sub.work.snapshot, sub.used, now);
-        if (other.availability == ReplicaSet::Availability::Found || limit == 0)
-            return other.availability == ReplicaSet::Availability::Found
-                           ? other
-                           : replicas_.choose(sub.work.snapshot, {}, now);
-    }
-    std::set<std::string> excluded;
-    if (limit > 0 && sub.used.size() >= limit) {
-        for (const auto &name : replicas_.names()) {
-            if (!sub.used.contains(name))
-                excluded.insert(name);
-        }
+        const auto other = replicas_.choose(snapshot, sub.used, now);
+        if (other.availability == ReplicaSet::Availability::Found)
+            return other;
     }
-    return replicas_.choose(sub.work.snapshot, excluded, now);
+    return replicas_.choose(snapshot, sub.excludedOf(replicas_.names()), now);
 }
 
 std::optional<Duration> ServiceScheduler::expectedWait(std::uint32_t workClass) const
@@ -445,14 +404,7 @@
 
 void ServiceScheduler::reply(SchedulerActions &actions, Sub &sub, protocol::SubError error)
 {
-    SubReply message;
-    const bool unknown = sub.mayHaveExecuted || !sub.attempts.empty();
-    message.outcome = unknown ? protocol::SubOutcome::Unknown : protocol::SubOutcome::NotRun;
-    message.error = error;
-    message.answer = sub.failure;
-    if (unknown && error == protocol::SubError::DeadlineOver)
-        message.error = protocol::SubError::DeadlineExceeded;
-    send(actions, sub, std::move(message));
+    send(actions, sub, sub.makeFailure(error));
 }
 
 void ServiceScheduler::send(SchedulerActions &actions, Sub &sub, SubReply message)
@@ -462,17 +414,14 @@
     sub.replied = true;
     if (std::exchange(sub.waiting, false))
         queue_.remove(sub.work.id, sub.work.priority);
-    dues_.erase({sub.due, sub.work.id});
+    dues_.remove(sub.work.id);
     actions.emplace_back(std::move(message));
 }
 
 void ServiceScheduler::setDue(Sub &sub, TimePoint due)
 {
-    if (sub.replied)
-        return;
-    dues_.erase({sub.due, sub.work.id});
-    sub.due = due;
-    dues_.insert({due, sub.work.id});
+    if (!sub.replied)
+        dues_.set(sub.work.id, due);
 }
 
 void ServiceScheduler::removeIfDone(std::uint64_t id)
--- a/state/service_scheduler.h
+++ b/state/service_scheduler.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "state/due_times.h"
 #include "state/execution_queue.h"
 #include "state/extra_load_budget.h"
 #include "state/replica_set.h"
 #include "state/scheduler_actions.h"
+#include "state/sub_request.h"
 #include "state/timing_book.h"
 #include "state/unproven_gate.h"
 
@@ -11,7 +13,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <vector>
 
 namespace persimmon::state {
@@ -67,45 +68,8 @@
     const ExtraLoadBudget &budget() const { return budget_; }
 
 private:
-    struct Attempt
-    {
-        std::uint32_t number = 0;
-        protocol::HostRecord upstream;
-        TimePoint startedAt;
-        bool cancelled = false;
-    };
-    struct Sub
-    {
-        SubWork work;
-        TimePoint arrivedAt;
-        bool replied = false;
-        bool waiting = true;
-        /// Whether an ended attempt may have executed.
-        bool mayHaveExecuted = false;
-        bool hedged = false;
-        /// Whether an attempt reached an upstream.
-        bool arrived = false;
-        AttemptKind nextKind = AttemptKind::Primary;
-        std::uint32_t executions = 0;
-        std::uint32_t refusals = 0;
-        protocol::SubError lastError = protocol::SubError::None;
-        /// Failure of an upstream that is passed on if nothing better comes.
-        std::shared_ptr<const protocol::ForwardedAnswer> failure;
-        /// Upstreams that got an attempt.
-        std::set<std::string> used;
-        std::vector<Attempt> attempts;
-        TimePoint due;
-    };
-    struct Due
-    {
-        TimePoint at;
-        std::uint64_t id = 0;
-
-        bool operator<(const Due &other) const
-        {
-            return at != other.at ? at < other.at : id < other.id;
-        }
-    };
+    using Sub = SubRequest;
+    using Attempt = SubRequest::Attempt;
 
     SchedulerActions finish(SchedulerActions actions, TimePoint now);
     void grant(SchedulerActions &actions, TimePoint now);
@@ -151,7 +115,7 @@
     bool chargeRefusals_ = false;
     bool crashTracking_ = true;
     std::map<std::uint64_t, Sub> subs_;
-    std::set<Due> dues_;
+    DueTimes dues_;
     std::optional<TimePoint> timerAt_;
 };
 
--- /dev/null
+++ b/state/sub_request.cpp
@@ -0,0 +1,61 @@
+#include "state/sub_request.h"
+
+namespace persimmon::state {
+
+bool SubRequest::noteEnd(AttemptResult &result)
+{
+    bool executed = false;
+    switch (result.end) {
+    case AttemptEnd::SnapshotMissing:
+        lastError = protocol::SubError::SnapshotMissing;
+        break;
+    case AttemptEnd::Shed:
+        lastError = protocol::SubError::Overloaded;
+        break;
+    case AttemptEnd::TimedOut:
+    case AttemptEnd::Cancelled:
+        lastError = protocol::SubError::DeadlineExceeded;
+        executed = result.written;
+        break;
+    case AttemptEnd::Lost:
+    case AttemptEnd::Dropped:
+        lastError = protocol::SubError::ConnectionLost;
+        executed = true;
+        break;
+    case AttemptEnd::Failed:
+        lastError = protocol::SubError::UpstreamFailed;
+        failure = std::move(result.answer);
+        executed = true;
+        break;
+    default:
+        lastError = protocol::SubError::NoUpstream;
+        break;
+    }
+    mayHaveExecuted = mayHaveExecuted || executed;
+    arrived = arrived || result.end != AttemptEnd::NotWritten;
+    return executed;
+}
+
+std::set<std::string> SubRequest::excludedOf(const std::vector<std::string> &names) const
+{
+    std::set<std::string> excluded;
+    for (const auto &name : names) {
+        if (hasUsedAll() && !used.contains(name))
+            excluded.insert(name);
+    }
+    return excluded;
+}
+
+SubReply SubRequest::makeFailure(protocol::SubError error) const
+{
+    SubReply reply;
+    const bool unknown = mayHaveExecuted || !attempts.empty();
+    reply.outcome = unknown ? protocol::SubOutcome::Unknown : protocol::SubOutcome::NotRun;
+    reply.error = error;
+    reply.answer = failure;
+    if (unknown && error == protocol::SubError::DeadlineOver)
+        reply.error = protocol::SubError::DeadlineExceeded;
+    return reply;
+}
+
+} // namespace persimmon::state
