--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -12,44 +12,19 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr int Shards = 4;
-constexpr int TopRecords = 3;
 constexpr int Callers = 6;
 /// Faults begin within this time of the start.
 constexpr milliseconds PlanSpan{7000};
-/// What the platform's pages promise, for this deployment's bounds.
-constexpr milliseconds ContactTime{4000};
-constexpr milliseconds DrainTime{3000};
-constexpr milliseconds ApplyTime{3000};
-constexpr milliseconds DowngradeTime{250};
 constexpr milliseconds GraceTime{3000};
 constexpr milliseconds RecoveryTime{12000};
-constexpr milliseconds DeadlineTime{1500};
-/// Half a second beyond the deadline, and the time that a busy machine takes to wake a caller.
-constexpr milliseconds FinalAnswerTime = DeadlineTime + milliseconds(1000);
 constexpr milliseconds StepPoll{10};
 constexpr milliseconds CallerPause{8};
 
-/// @return the record @p index that an upstream of @p service gives to a request.
-std::string makeRecord(const std::string &service, const std::string &request, int index)
-{
-    std::mt19937_64 random(std::hash<std::string>{}(service + "|" + request) + index);
-    std::string record;
-    for (int i = 0; i < 16; ++i)
-        record.push_back(static_cast<char>('a' + random() % 26));
-    return record;
-}
-
 std::string serviceOf(const std::string &upstream)
 {
     return upstream.substr(0, upstream.find('-'));
 }
 
-int versionOf(const std::string &target)
-{
-    return target.starts_with("/v") ? std::atoi(target.c_str() + 2) : 0;
-}
-
 } // namespace
 
 /// One caller: keeps a connection to a host until it ends, then connects to any host.
@@ -91,7 +66,7 @@
 
     void send()
     {
-        Attempt attempt;
+        SoakLedger::Attempt attempt;
         attempt.id = "s" + std::to_string(number_) + "-" + std::to_string(++count_);
         attempt.target = drawTarget(attempt.repeatable);
         attempt.host = host_;
@@ -99,12 +74,13 @@
         attempt.sentAt = Clock::now();
         connection_->send((attempt.repeatable ? "GET " : "POST ") + attempt.target
                           + " HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: " + attempt.id
-                          + "\r\nX-Deadline-Ms: " + std::to_string(DeadlineTime.count())
+                          + "\r\nX-Deadline-Ms: " + std::to_string(SoakTerms::Deadline.count())
                           + "\r\nContent-Length: 0\r\n\r\n");
-        const auto response = connection_->receive(FinalAnswerTime);
+        const auto response = connection_->receive(SoakTerms::FinalAnswer);
         attempt.endedAt = Clock::now();
         attempt.status = statusOf(response);
-        run_.checkAnswer(attempt, response);
+        run_.served_ += attempt.status == 200 ? 1 : 0;
+        run_.ledger_.check(attempt, response);
         if (attempt.status == 0 || fieldOf(response, "Connection") == "close")
             connection_.reset();
     }
@@ -121,7 +97,7 @@
 {
     PlatformPlan plan;
     plan.serviceOf.clear();
-    for (int shard = 0; shard < Shards; ++shard) {
+    for (int shard = 0; shard < SoakTerms::Shards; ++shard) {
         for (const auto *replica : {"-a", "-b"})
             plan.serviceOf["s" + std::to_string(shard) + replica] = "s" + std::to_string(shard);
     }
@@ -160,21 +136,21 @@
     const auto id = fieldOf(request, "X-Request-Id");
     const auto service = serviceOf(upstream);
     const auto line = request.substr(0, request.find("\r\n"));
+    ledger_.noteArrival(id, upstream);
     bool losesAnswer = false;
     {
         const std::lock_guard lock(mutex_);
-        arrivals_.push_back({id, upstream, Clock::now()});
         losesAnswer = losesAnswers_.contains(upstream);
     }
     const auto expected = service == "pay"    ? "POST /pay/1 HTTP/1.1"
                           : service == "look" ? "GET /look/1 HTTP/1.1"
                                               : "GET /";
     if (!line.starts_with(expected))
-        report("UNASKED: " + upstream + " got " + line);
+        ledger_.report("UNASKED: " + upstream + " got " + line);
     if (losesAnswer)
         return {"", true};
     const auto stamp = "X-Response-Stamp: " + service + "." + id + "\r\n";
-    RawAnswer result{makeAnswer(makeRecord(service, id, 0) + makeRecord(service, id, 1), "",
+    RawAnswer result{makeAnswer(makeSoakRecord(service, id, 0) + makeSoakRecord(service, id, 1), "",
                                 stamp + "X-Request-Id: " + id + "\r\n")};
     result.delay = milliseconds(4);
     return result;
@@ -192,15 +168,14 @@
         text << R"({"name":")" << prefix << R"(","host":"h.example","prefix":")" << prefix
              << R"(","kind":"idempotent","deadline_ms":1500,"goal_ms":400,"priority":1,)"
              << R"("gather":["s0","s1","s2","s3"],"max_attempts":2,"min_fraction":0.5,"top_k":)"
-             << TopRecords << "},";
+             << SoakTerms::TopRecords << "},";
     }
     text << R"({"name":"pay","host":"h.example","prefix":"/pay/","kind":"non_idempotent",)"
          << R"("deadline_ms":1500,"goal_ms":400,"priority":0,"service":"pay","max_attempts":2},)"
          << R"({"name":"look","host":"h.example","prefix":"/look/","kind":"idempotent",)"
          << R"("deadline_ms":1500,"goal_ms":400,"priority":1,"service":"look","max_attempts":2}]})";
     cluster_->store().put("op/config", text.str());
-    const std::lock_guard lock(mutex_);
-    versionTimes_.push_back(Clock::now());
+    ledger_.noteVersion();
 }
 
 std::vector<std::string> SoakRun::play()
@@ -224,10 +199,7 @@
     running_ = false;
     for (auto &caller : callers)
         caller.join();
-    checkRuns();
-    checkDrains();
-    const std::lock_guard lock(mutex_);
-    return broken_;
+    return ledger_.finish();
 }
 
 std::vector<SoakRun::Step> SoakRun::makeSteps(Clock::time_point start) const
@@ -262,7 +234,7 @@
     const auto now = Clock::now();
     const auto length = fault.kind == FaultKind::StopHost ? GraceTime : fault.length;
     if (fault.kind != FaultKind::ReloadHost)
-        disturb(fault.host, now, now + length);
+        ledger_.disturb(fault.host, now, now + length);
     switch (fault.kind) {
     case FaultKind::KillHost:
         expectedDown_.insert(fault.host);
@@ -296,7 +268,7 @@
     case FaultKind::KillHost:
     case FaultKind::StopHost:
         cluster_->process(fault.host).kill();
-        disturb(fault.host, Clock::now(), Clock::now());
+        ledger_.disturb(fault.host, Clock::now(), Clock::now());
         ++incarnations_.at(fault.host);
         expectedDown_.erase(fault.host);
         cluster_->start(fault.host);
@@ -332,8 +304,7 @@
     case FaultKind::UpstreamDrained: {
         cluster_->registerUpstream(fault.upstream, "draining");
         const auto now = Clock::now();
-        const std::lock_guard lock(mutex_);
-        drains_.push_back({fault.upstream, now, now + fault.length});
+        ledger_.noteDrain(fault.upstream, now, now + fault.length);
         break;
     }
     case FaultKind::AddressReused:
@@ -371,7 +342,7 @@
     switch (fault.kind) {
     case FaultKind::StoreDown:
         for (int host = 1; host <= PlatformCluster::HostCount; ++host)
-            disturb(host, Clock::now(), Clock::now() + fault.length);
+            ledger_.disturb(host, Clock::now(), Clock::now() + fault.length);
         cluster_->store().setDown(true);
         break;
     case FaultKind::StoreCompacted:
@@ -383,29 +354,13 @@
     }
 }
 
-void SoakRun::disturb(int host, Clock::time_point from, Clock::time_point to)
-{
-    const std::lock_guard lock(mutex_);
-    disturbances_[host].push_back({from, to});
-}
-
-bool SoakRun::isInTouch(int host, Clock::time_point from, Clock::time_point to) const
-{
-    const auto found = disturbances_.find(host);
-    if (found == disturbances_.end())
-        return true;
-    return std::none_of(found->second.begin(), found->second.end(), [&](const Disturbance &row) {
-        return row.from <= to && from <= row.to + ContactTime;
-    });
-}
-
 void SoakRun::noteEndedProcesses()
 {
     for (int host = 1; host <= PlatformCluster::HostCount; ++host) {
         if (expectedDown_.contains(host) || cluster_->process(host).isRunning())
             continue;
         expectedDown_.insert(host);
-        report("FAULT: host " + std::to_string(host) + " ended by itself");
+        ledger_.report("FAULT: host " + std::to_string(host) + " ended by itself");
     }
 }
 
@@ -426,117 +381,8 @@
                 },
                 left);
         if (!whole)
-            report("RECOVER: host " + std::to_string(host) + " gives no whole answers");
-    }
-}
-
-void SoakRun::checkAnswer(const Attempt &attempt, const std::string &response)
-{
-    {
-        const std::lock_guard lock(mutex_);
-        attempts_.push_back(attempt);
-    }
-    if (const int version = versionOf(attempt.target); version > 0)
-        checkVersion(attempt, version);
-    if (attempt.status == 0 && attempt.endedAt - attempt.sentAt >= FinalAnswerTime
-        && isInTouch(attempt.host, attempt.sentAt, attempt.endedAt))
-        report("CONFIG: no final answer to " + attempt.id + " after its deadline");
-    if (attempt.status != 200)
-        return;
-    ++served_;
-    const bool isGather = attempt.target.starts_with("/g/") || versionOf(attempt.target) > 0;
-    if (!isGather) {
-        const auto service = attempt.repeatable ? "look" : "pay";
-        const auto body = makeRecord(service, attempt.id, 0) + makeRecord(service, attempt.id, 1);
-        if (bodyOf(response) != body
-            || fieldOf(response, "X-Response-Stamp") != service + ("." + attempt.id))
-            report("MIXED: " + attempt.id + " got " + response);
-        return;
+            ledger_.report("RECOVER: host " + std::to_string(host) + " gives no whole answers");
     }
-    std::vector<std::string> records;
-    std::set<std::string> parts;
-    std::istringstream stamps(fieldOf(response, "X-Part-Stamps"));
-    for (std::string stamp; std::getline(stamps >> std::ws, stamp, ',');) {
-        const auto service = stamp.substr(0, stamp.find('.'));
-        if (stamp != service + "." + attempt.id || !parts.insert(service).second)
-            report("MIXED: " + attempt.id + " has the signature " + stamp);
-        for (int i = 0; i < 2; ++i)
-            records.push_back(makeRecord(service, attempt.id, i));
-    }
-    std::sort(records.rbegin(), records.rend());
-    std::string body;
-    for (std::size_t i = 0; i < std::min<std::size_t>(records.size(), TopRecords); ++i)
-        body += records[i];
-    const auto missing = std::atoi(fieldOf(response, "X-Missing-Parts").c_str());
-    if (bodyOf(response) != body || static_cast<int>(parts.size()) + missing != Shards
-        || parts.size() * 2 < Shards)
-        report("MIXED: " + attempt.id + " got " + response);
-}
-
-void SoakRun::checkVersion(const Attempt &attempt, int version)
-{
-    const std::lock_guard lock(mutex_);
-    auto &[seen, since] = versionsSeen_[{attempt.host, attempt.incarnation}];
-    const bool isNewest = newestVersion_ <= version + 1;
-    if (attempt.status == 404 && isNewest) {
-        const auto written = versionTimes_.at(static_cast<std::size_t>(version - 1));
-        if (attempt.sentAt > written + ApplyTime
-            && isInTouch(attempt.host, written, attempt.endedAt))
-            broken_.push_back("CONFIG: " + attempt.id + " got 404 for version "
-                              + std::to_string(version) + " from host "
-                              + std::to_string(attempt.host));
-        if (seen >= version && attempt.sentAt > since + DowngradeTime
-            && incarnations_.at(attempt.host) == attempt.incarnation)
-            broken_.push_back("CONFIG: host " + std::to_string(attempt.host)
-                              + " went back from version " + std::to_string(seen));
-    }
-    if (attempt.status != 404 && attempt.status != 0 && version > seen) {
-        seen = version;
-        since = attempt.endedAt;
-    }
-}
-
-void SoakRun::checkRuns()
-{
-    const std::lock_guard lock(mutex_);
-    std::map<std::string, int> runs;
-    for (const auto &arrival : arrivals_)
-        ++runs[arrival.request];
-    for (const auto &attempt : attempts_) {
-        if (attempt.repeatable)
-            continue;
-        const auto count = runs[attempt.id];
-        if (count > 1)
-            broken_.push_back("TWICE: " + attempt.id + " ran " + std::to_string(count) + " times");
-        const std::set<int> promises{408, 421, 429, 503};
-        if (promises.contains(attempt.status) && count > 0)
-            broken_.push_back("REFUSED: " + attempt.id + " ran, and was answered "
-                              + std::to_string(attempt.status));
-    }
-}
-
-void SoakRun::checkDrains()
-{
-    const std::lock_guard lock(mutex_);
-    std::map<std::string, const Attempt *> byId;
-    for (const auto &attempt : attempts_)
-        byId[attempt.id] = &attempt;
-    for (const auto &drain : drains_) {
-        for (const auto &arrival : arrivals_) {
-            const auto found = byId.find(arrival.request);
-            if (arrival.upstream != drain.upstream || arrival.at <= drain.from + DrainTime
-                || arrival.at >= drain.to || found == byId.end()
-                || !isInTouch(found->second->host, drain.from, arrival.at))
-                continue;
-            broken_.push_back("DRAIN: " + arrival.request + " reached " + drain.upstream);
-        }
-    }
-}
-
-void SoakRun::report(const std::string &line)
-{
-    const std::lock_guard lock(mutex_);
-    broken_.push_back(line);
 }
 
 } // namespace persimmon::tests
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "tests/soak/fault_proxy.h"
+#include "tests/soak/soak_ledger.h"
 #include "tests/soak/soak_plan.h"
 #include "tests/system/platform_cluster.h"
 
@@ -19,7 +20,7 @@
 class SoakRun
 {
 public:
-    using Clock = std::chrono::steady_clock;
+    using Clock = SoakLedger::Clock;
 
     explicit SoakRun(std::uint32_t seed);
     ~SoakRun();
@@ -36,38 +37,6 @@
     std::string describe() const { return describePlan(plan_); }
 
 private:
-    /// A time in which something was done to a host or to the store.
-    struct Disturbance
-    {
-        Clock::time_point from;
-        Clock::time_point to;
-    };
-    /// One start of a request at an upstream.
-    struct Arrival
-    {
-        std::string request;
-        std::string upstream;
-        Clock::time_point at;
-    };
-    /// What a caller sent and got.
-    struct Attempt
-    {
-        std::string id;
-        std::string target;
-        int host = 0;
-        int incarnation = 0;
-        bool repeatable = true;
-        Clock::time_point sentAt;
-        Clock::time_point endedAt;
-        int status = 0;
-    };
-    /// A time in which an upstream was registered as draining.
-    struct Drain
-    {
-        std::string upstream;
-        Clock::time_point from;
-        Clock::time_point to;
-    };
     /// The end of a fault or its beginning, in the order in which they are carried out.
     struct Step
     {
@@ -86,15 +55,8 @@
     void beginUpstreamFault(const Fault &fault);
     void endUpstreamFault(const Fault &fault);
     void beginStoreFault(const Fault &fault);
-    void disturb(int host, Clock::time_point from, Clock::time_point to);
     void noteEndedProcesses();
     void recover();
-    void checkAnswer(const Attempt &attempt, const std::string &response);
-    void checkVersion(const Attempt &attempt, int version);
-    void checkRuns();
-    void checkDrains();
-    bool isInTouch(int host, Clock::time_point from, Clock::time_point to) const;
-    void report(const std::string &line);
 
     const std::uint32_t seed_;
     std::vector<std::string> upstreams_;
@@ -109,16 +71,9 @@
     std::atomic<int> served_ = 0;
     std::atomic<int> newestVersion_ = 0;
 
-    mutable std::mutex mutex_;
+    SoakLedger ledger_;
+    std::mutex mutex_;
     std::set<std::string> losesAnswers_;
-    std::vector<Clock::time_point> versionTimes_;
-    /// Highest version that an incarnation of a host has served, and when that was first seen.
-    std::map<std::pair<int, int>, std::pair<int, Clock::time_point>> versionsSeen_;
-    std::map<int, std::vector<Disturbance>> disturbances_;
-    std::vector<Arrival> arrivals_;
-    std::vector<Attempt> attempts_;
-    std::vector<Drain> drains_;
-    std::vector<std::string> broken_;
 };
 
 } // namespace persimmon::tests
