Count only reached upstreams against a request's limit

Cause: an attempt whose connection was never made used up one of the upstreams that a request may use. With two of three replicas down a request failed, or tried the two again, although the third was sound.

Change: SubRequest keeps unreached upstreams apart; they do not count. A request still runs on no more upstreams than its limit.

Test: 'an upstream that cannot be reached does not count against the limit' was red (the third replica got nothing).

--- a/state/service_scheduler.cpp
+++ b/state/service_scheduler.cpp
@@ -105,7 +105,7 @@
         reply(actions, sub, protocol::SubError::Malformed);
         return;
     }
-    const bool executed = sub.noteEnd(result);
+    const bool executed = sub.noteEnd(ended.upstream.name, result);
     // Any further attempt may be one more arrival, whatever this one ended with.
     retryOrReply(actions, sub, executed, chargeRefusals_ && sub.arrived, now);
 }
@@ -348,6 +348,7 @@
         budget_.addPrimary(sub.work.extraLoad);
     replicas_.onStarted(upstream.name, now);
     sub.used.insert(upstream.name);
+    sub.unreached.erase(upstream.name);
     gate_.enter(sub.work.fingerprint);
     sub.attempts.push_back({sub.executions, upstream, now});
     const auto extra = sub.work.repeatable ? Duration(0) : Duration(LateAnswerTime);
--- a/state/sub_request.cpp
+++ b/state/sub_request.cpp
@@ -2,9 +2,11 @@
 
 namespace persimmon::state {
 
-bool SubRequest::noteEnd(AttemptResult &result)
+bool SubRequest::noteEnd(const std::string &upstream, AttemptResult &result)
 {
     bool executed = false;
+    if (result.end == AttemptEnd::NotWritten)
+        unreached.insert(upstream);
     switch (result.end) {
     case AttemptEnd::SnapshotMissing:
         lastError = protocol::SubError::SnapshotMissing;
@@ -40,7 +42,8 @@
 {
     std::set<std::string> excluded;
     for (const auto &name : names) {
-        if (hasUsedAll() && !used.contains(name))
+        const bool reached = used.contains(name) && !unreached.contains(name);
+        if (hasUsedAll() && !reached)
             excluded.insert(name);
     }
     return excluded;
--- a/state/sub_request.h
+++ b/state/sub_request.h
@@ -39,14 +39,19 @@
     std::shared_ptr<const protocol::ForwardedAnswer> failure;
     /// Upstreams that got an attempt.
     std::set<std::string> used;
+    /// Those of them to which no byte was written; they do not count against the limit.
+    std::set<std::string> unreached;
     std::vector<Attempt> attempts;
 
-    /// Takes the end of an attempt that gave no final reply.
+    /// Takes the end of an attempt at @p upstream that gave no final reply.
     /// @return whether the attempt may have executed.
-    bool noteEnd(AttemptResult &result);
+    bool noteEnd(const std::string &upstream, AttemptResult &result);
 
     /// @return whether it has used as many upstreams as it may.
-    bool hasUsedAll() const { return work.upstreamLimit > 0 && used.size() >= work.upstreamLimit; }
+    bool hasUsedAll() const
+    {
+        return work.upstreamLimit > 0 && used.size() - unreached.size() >= work.upstreamLimit;
+    }
 
     /// @return those of @p names that it may not use, since it has used as many as it may.
     std::set<std::string> excludedOf(const std::vector<std::string> &names) const;
--- a/tests/state/test_forwarding_schedule.cpp
+++ b/tests/state/test_forwarding_schedule.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 
 using namespace persimmon;
 using namespace persimmon::state;
@@ -185,6 +186,25 @@
     }
 }
 
+TEST_CASE_FIXTURE(Fixture, "an upstream that cannot be reached does not count against the limit")
+{
+    // Load pattern: two of three replicas are down. Guards against a request that fails although
+    // the third one could execute it.
+    settings.available.push_back({"c", protocol::HostKind::Upstream, "127.0.0.1:1", "d", "s"});
+    settings.traits["c"].limit = 3;
+    configure();
+    const auto id = arrive();
+    end(id, AttemptEnd::NotWritten);
+    end(id, AttemptEnd::NotWritten);
+    CHECK(starts == std::map<std::string, int>{{"a", 1}, {"b", 1}, {"c", 1}});
+    std::set<std::string> reached;
+    while (!replies.contains(id)) {
+        reached.insert(running.at(id).upstream.name);
+        end(id, AttemptEnd::Lost);
+    }
+    CHECK(reached.size() == upstreamLimit);
+}
+
 TEST_CASE_FIXTURE(Fixture, "the failure of an upstream is passed on when nothing better comes")
 {
     // Guards against an own error in place of the answer that the upstream gave.
