Give other hosts the whole time again after a pause of this one

Cause: a host that did not run for 4 s took all others for dead at its first look after it woke, since the age of their heartbeats is that of its own pause. Until the next exchange it named only itself and used the whole of each shared limit.

Change: the tick that notices the pause tells EntryMembership before it looks.

--- a/host/host_daemon.cpp
+++ b/host/host_daemon.cpp
@@ -252,6 +252,7 @@
                                   {{"ms", std::to_string(milliseconds.count())}});
             pool_.closeIdle();
             hooks_.store.reset();
+            membership_.onPause(now);
         }
         clockOffset_ = offset;
         last = now;
--- a/state/entry_membership.cpp
+++ b/state/entry_membership.cpp
@@ -111,6 +111,14 @@
     return heartbeats;
 }
 
+void EntryMembership::onPause(TimePoint now)
+{
+    for (auto &[control, peer] : peers_) {
+        if (peer.live)
+            peer.heardAt = now;
+    }
+}
+
 bool EntryMembership::expire(TimePoint now)
 {
     bool died = false;
--- a/state/entry_membership.h
+++ b/state/entry_membership.h
@@ -100,6 +100,10 @@
     /// @return those of heartbeats() whose hosts are in the own region.
     std::vector<Heartbeat> regionHeartbeats() const;
 
+    /// Notes that this process did not run until @p now, so that it has heard of nobody; the others
+    /// get the whole time again.
+    void onPause(TimePoint now);
+
     /// Notes the hosts whose heartbeat stood still too long, and forgets old ones.
     /// @return whether a host was found dead.
     bool expire(TimePoint now);
--- a/tests/state/test_entry_membership.cpp
+++ b/tests/state/test_entry_membership.cpp
@@ -58,6 +58,21 @@
     CHECK(membership.liveCount() == 2);
 }
 
+TEST_CASE("a host that was paused does not take the others for dead")
+{
+    // Guards against a host that wakes up, believes that it is alone, and uses the parts of shared
+    // limits that belong to the others.
+    EntryMembership membership(makeRow("a"));
+    membership.merge({makeRow("b"), makeRow("c", "r2")}, Start);
+    const auto woken = Start + seconds(8);
+    membership.onPause(woken);
+    CHECK_FALSE(membership.expire(woken));
+    CHECK(membership.liveCount() == 3);
+    // Those that stay silent are found dead later.
+    CHECK(membership.expire(woken + seconds(6)));
+    CHECK(membership.liveCount() == 1);
+}
+
 TEST_CASE("a restarted host wins over rows of its earlier start")
 {
     // Guards against a host whose clock jumped back and whose new rows nobody takes.
