--- a/tests/system/platform_cluster.cpp
+++ b/tests/system/platform_cluster.cpp
@@ -16,13 +16,15 @@
 
 constexpr std::chrono::milliseconds PollInterval{20};
 
-/// @return a port that is free now, outside the range from which connections get theirs: one of
+/// @return a port that is free now and was not returned before, outside the range from which
+/// connections get theirs: one of
 ///         another test may otherwise take it before the host listens.
 int freePort()
 {
     constexpr int First = 10'000;
     constexpr int Last = 32'000;
     static std::mt19937 random{std::random_device{}()};
+    static std::set<int> returned;
     while (true) {
         const int port = std::uniform_int_distribution<int>(First, Last)(random);
         const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
@@ -33,7 +35,7 @@
         const bool free =
                 ::bind(socket, reinterpret_cast<sockaddr *>(&address), sizeof address) == 0;
         ::close(socket);
-        if (free)
+        if (free && returned.insert(port).second)
             return port;
     }
 }
--- a/tests/system/test_platform_hosts.cpp
+++ b/tests/system/test_platform_hosts.cpp
@@ -23,7 +23,7 @@
 void waitForAll(PlatformCluster &cluster)
 {
     for (int host = 1; host <= PlatformCluster::HostCount; ++host)
-        REQUIRE(cluster.waitUntilReady(host));
+        REQUIRE_MESSAGE(cluster.waitUntilReady(host), cluster.lastLogLine(host));
     REQUIRE(cluster.waitUntil([&] {
         const auto named = cluster.locate(1);
         for (int host = 1; host <= PlatformCluster::HostCount; ++host) {
