Never take a late or endless response for the answer to a request

Cause: a response without an id was taken as the one to the request just written, so the second copy of an earlier answer reached the next caller, and a late rejection told a caller 'not run' about a request that had run. A late response with the old id cost the request its answer. Bytes without end were held until 8 MiB each, framing without any limit. Ruled out: the check for unexpected input before the write alone; bytes also arrive after it. Change: responses to other requests are skipped and the right one is awaited; a connection is kept only if the upstream echoed the id. Read buffer, interim and skipped messages, one body and all bodies together are limited; the end 'oversized' passes the upstream over for a time and never counts as not run. Idle connections to a removed upstream are closed (closeIdleExcept had no caller); unused idleCount removed.

--- a/forward/forward.h
+++ b/forward/forward.h
@@ -5,6 +5,7 @@
 #include "forward/frontend_server.h"
 #include "forward/header_names.h"
 #include "forward/parse_error.h"
+#include "forward/receive_budget.h"
 #include "forward/request_forwarder.h"
 #include "forward/service_executors.h"
 #include "forward/upstream_response.h"
--- a/forward/forwarding_client.cpp
+++ b/forward/forwarding_client.cpp
@@ -22,6 +22,7 @@
 
 namespace {
 
+constexpr const char *Part = "forward";
 constexpr auto AwaitTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::chrono::milliseconds TimeoutCheckInterval{40};
 /// Time after the deadline in which an upstream can still report that the deadline has passed.
@@ -36,6 +37,9 @@
 /// TCP_USER_TIMEOUT: the kernel closes a connection whose data stays unacknowledged for this time.
 constexpr unsigned UserTimeoutMilliseconds = 2000;
 constexpr std::uint64_t MaxResponseBytes = 8ULL * 1024 * 1024;
+/// Interim responses, and late responses to other requests, that one attempt skips.
+constexpr int MaxSkippedMessages = 8;
+constexpr unsigned FirstFinalStatus = 200;
 
 void setSocketOptions(asio::ip::tcp::socket &socket)
 {
@@ -52,6 +56,14 @@
     return count >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
+state::AttemptEnd endForReadError(const beast::error_code &error)
+{
+    if (error == http::error::header_limit || error == http::error::body_limit
+        || error == http::error::buffer_overflow)
+        return state::AttemptEnd::Oversized;
+    return isParseError(error) ? state::AttemptEnd::Dropped : state::AttemptEnd::Lost;
+}
+
 /// @return the value of "timeout=N" in a Keep-Alive field, or DefaultIdleTimeout without one.
 std::chrono::milliseconds parseIdleTimeout(beast::string_view field)
 {
@@ -79,8 +91,8 @@
 {
 }
 
-std::shared_ptr<ForwardingClient::Connection>
-ForwardingClient::acquireIdle(const std::string &upstream, bool idempotent)
+ForwardingClient::ConnectionPtr ForwardingClient::acquireIdle(const std::string &upstream,
+                                                              bool idempotent)
 {
     const auto found = idle_.find(upstream);
     if (found == idle_.end())
@@ -100,10 +112,10 @@
     return nullptr;
 }
 
-void ForwardingClient::releaseIdle(const std::string &upstream,
-                                   const std::shared_ptr<Connection> &connection)
+void ForwardingClient::releaseIdle(const std::string &upstream, const ConnectionPtr &connection)
 {
     connection->idleSince = runtime_.clock().now();
+    connection->reused = true;
     idle_[upstream].push_back(connection);
 }
 
@@ -173,25 +185,16 @@
                                 sent > 0 ? state::AttemptEnd::Lost : state::AttemptEnd::NotWritten);
         co_return result;
     }
-    UpstreamResponse response;
-    do {
-        http::response_parser<http::string_body> parser;
-        parser.body_limit(MaxResponseBytes);
-        if (request->method == "HEAD")
-            parser.skip(true);
-        const auto [readError, received] = co_await http::async_read(
-                connection->socket, connection->buffer, parser, AwaitTuple);
-        if (readError) {
-            const bool malformed = isParseError(readError);
-            result.end = resolveEnd(*attempt, malformed ? state::AttemptEnd::Dropped
-                                                        : state::AttemptEnd::Lost);
-            co_return result;
-        }
-        response = parser.release();
-    } while (response.result_int() < 200);
-    // Bytes after a complete response belong to no request, so the connection cannot be reused.
-    const bool keepOpen =
-            response.keep_alive() && connection->buffer.size() == 0 && !response.need_eof();
+    auto received = co_await readResponse(connection, request);
+    if (const auto *end = std::get_if<state::AttemptEnd>(&received)) {
+        result.end = resolveEnd(*attempt, *end);
+        co_return result;
+    }
+    auto &response = std::get<UpstreamResponse>(received);
+    // Bytes after a complete response belong to no request. An upstream that does not echo the id
+    // may send a late response that cannot be told from the next one.
+    const bool keepOpen = response.keep_alive() && connection->buffer.size() == 0
+                          && !response.need_eof() && response.count(names_.requestId) > 0;
     connection->idleTimeout = parseIdleTimeout(response[http::field::keep_alive]);
     result = classifyResponse(std::move(response), names_, request->id);
     if (keepOpen && result.end != state::AttemptEnd::Dropped
@@ -200,6 +203,62 @@
     co_return result;
 }
 
+asio::awaitable<std::variant<UpstreamResponse, state::AttemptEnd>>
+ForwardingClient::readResponse(ConnectionPtr connection,
+                               std::shared_ptr<const ForwardRequest> request)
+{
+    const bool withBody = request->method != "HEAD";
+    bool skipped = false;
+    for (int count = 0; count < MaxSkippedMessages; ++count) {
+        auto message = co_await readMessage(connection, withBody);
+        if (std::holds_alternative<state::AttemptEnd>(message))
+            co_return message;
+        auto &response = std::get<UpstreamResponse>(message);
+        if (response.result_int() < FirstFinalStatus)
+            continue;
+        if (isResponseTo(response, *connection, request->id)) {
+            // An upstream that repeats responses may repeat this one as well.
+            if (skipped)
+                response.keep_alive(false);
+            co_return message;
+        }
+        skipped = true;
+        transport::logWarning(Part, "skipped a response to another request",
+                              {{"request", request->id},
+                               {"received", std::string(response[names_.requestId])},
+                               {"status", std::to_string(response.result_int())}});
+    }
+    co_return state::AttemptEnd::Oversized;
+}
+
+bool ForwardingClient::isResponseTo(const UpstreamResponse &response, const Connection &connection,
+                                    const std::string &requestId) const
+{
+    const auto echoed = response.find(names_.requestId);
+    if (echoed == response.end())
+        return !connection.reused;
+    return std::string_view(echoed->value().data(), echoed->value().size()) == requestId;
+}
+
+asio::awaitable<std::variant<UpstreamResponse, state::AttemptEnd>>
+ForwardingClient::readMessage(ConnectionPtr connection, bool withBody)
+{
+    ReceiveBudget::Share share(receiveBudget_);
+    http::response_parser<http::string_body> parser;
+    parser.eager(true);
+    parser.body_limit(MaxResponseBytes);
+    parser.skip(!withBody);
+    while (!parser.is_done()) {
+        const auto [error, received] = co_await http::async_read_some(
+                connection->socket, connection->buffer, parser, AwaitTuple);
+        if (error)
+            co_return endForReadError(error);
+        if (!share.growTo(parser.get().body().size()))
+            co_return state::AttemptEnd::Oversized;
+    }
+    co_return parser.release();
+}
+
 state::AttemptEnd ForwardingClient::resolveEnd(const ActiveAttempt &attempt,
                                                state::AttemptEnd fallback)
 {
@@ -246,17 +305,4 @@
     }
 }
 
-void ForwardingClient::closeIdleExcept(const std::set<std::string> &names)
-{
-    std::erase_if(idle_, [&names](const auto &entry) { return !names.contains(entry.first); });
-}
-
-std::size_t ForwardingClient::idleCount() const
-{
-    std::size_t count = 0;
-    for (const auto &[name, connections] : idle_)
-        count += connections.size();
-    return count;
-}
-
 } // namespace persimmon::forward
--- a/forward/forwarding_client.h
+++ b/forward/forwarding_client.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "forward/receive_budget.h"
 #include "forward/upstream_response.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -7,8 +8,8 @@
 
 #include <map>
 #include <memory>
-#include <set>
 #include <tuple>
+#include <variant>
 
 namespace persimmon::forward {
 
@@ -31,6 +32,8 @@
 public:
     /// Time that a cancelled attempt has to complete, since its connection can then be reused.
     static constexpr std::chrono::milliseconds CancelDelay{150};
+    /// Combined body size of all responses that are being received.
+    static constexpr std::size_t MaxReceivedBytes = 32U * 1024U * 1024U;
     /// Covers a few round trips between regions.
     static constexpr std::chrono::milliseconds ConnectTimeout{250};
 
@@ -49,41 +52,55 @@
     /// Cancels an attempt. Its connection is closed after CancelDelay unless the response arrives.
     void cancel(AttemptKey key);
 
-    /// Closes idle connections to upstreams that are not in @p names.
-    void closeIdleExcept(const std::set<std::string> &names);
+    /// Closes the idle connections to one upstream, for example after it was removed.
+    void closeIdleTo(const std::string &upstream) { idle_.erase(upstream); }
 
     /// Closes all idle connections, for example after the process was suspended.
     void closeIdle() { idle_.clear(); }
 
-    std::size_t idleCount() const;
-
 private:
     using Socket = boost::asio::ip::tcp::socket;
+    /// Bounds the memory of a message whose framing never ends. Bodies are moved out of the buffer
+    /// while they arrive.
+    static constexpr std::size_t MaxBufferedBytes = 128U * 1024U;
     struct Connection
     {
         explicit Connection(const boost::asio::any_io_executor &executor) : socket(executor) {}
 
         Socket socket;
-        boost::beast::flat_buffer buffer;
+        boost::beast::flat_buffer buffer{MaxBufferedBytes};
         transport::TimePoint idleSince;
         /// Idle time after which the upstream closes the connection.
         std::chrono::milliseconds idleTimeout{0};
+        /// Whether it has carried an earlier request, which may be answered once more.
+        bool reused = false;
     };
+    using ConnectionPtr = std::shared_ptr<Connection>;
     struct ActiveAttempt
     {
-        std::shared_ptr<Connection> connection;
+        ConnectionPtr connection;
         transport::TimePoint timeoutAt;
         bool timedOut = false;
         bool cancelled = false;
     };
     using ActiveAttemptPtr = std::shared_ptr<ActiveAttempt>;
 
-    std::shared_ptr<Connection> acquireIdle(const std::string &upstream, bool idempotent);
-    void releaseIdle(const std::string &upstream, const std::shared_ptr<Connection> &connection);
+    ConnectionPtr acquireIdle(const std::string &upstream, bool idempotent);
+    void releaseIdle(const std::string &upstream, const ConnectionPtr &connection);
     boost::asio::awaitable<bool> connect(ActiveAttemptPtr attempt, std::string address);
     boost::asio::awaitable<state::AttemptResult>
     sendRequest(ActiveAttemptPtr attempt, std::string upstream,
                 std::shared_ptr<const ForwardRequest> request, transport::TimePoint deadline);
+    /// Reads the final response to @p request. Skips interim responses and late responses to other
+    /// requests.
+    /// @return the response, or the end of an attempt without one.
+    boost::asio::awaitable<std::variant<UpstreamResponse, state::AttemptEnd>>
+    readResponse(ConnectionPtr connection, std::shared_ptr<const ForwardRequest> request);
+    /// Reads one message, which may be an interim response.
+    boost::asio::awaitable<std::variant<UpstreamResponse, state::AttemptEnd>>
+    readMessage(ConnectionPtr connection, bool withBody);
+    bool isResponseTo(const UpstreamResponse &response, const Connection &connection,
+                      const std::string &requestId) const;
     static state::AttemptEnd resolveEnd(const ActiveAttempt &attempt, state::AttemptEnd fallback);
     void startTimeoutChecks();
     void closeExpiredAttempts();
@@ -92,8 +109,9 @@
     const HeaderNames names_;
     transport::Counter &openedConnections_;
     transport::Counter &reusedConnections_;
-    std::map<std::string, std::vector<std::shared_ptr<Connection>>> idle_;
+    std::map<std::string, std::vector<ConnectionPtr>> idle_;
     std::map<AttemptKey, ActiveAttemptPtr> activeAttempts_;
+    ReceiveBudget receiveBudget_{MaxReceivedBytes};
     bool checkingTimeouts_ = false;
 };
 
--- a/host/host_daemon.cpp
+++ b/host/host_daemon.cpp
@@ -195,6 +195,7 @@
 
 void HostDaemon::applyRecord(const RemovedUpstream &removed, std::set<std::string> &changedServices)
 {
+    forwardingClient_.closeIdleTo(removed.id);
     const auto services = registry_.remove(removed.id, runtime_.clock().now());
     if (services.empty())
         return;
--- a/state/replica_set.cpp
+++ b/state/replica_set.cpp
@@ -166,6 +166,7 @@
     case AttemptEnd::Shed:
     case AttemptEnd::Lost:
     case AttemptEnd::Dropped:
+    case AttemptEnd::Oversized:
     case AttemptEnd::Failed:
         failureRate += (1 - failureRate) * FailureWeight;
         break;
@@ -282,6 +283,7 @@
         replica.missing[snapshot] = now + SnapshotMissingTtl;
         break;
     case AttemptEnd::Draining:
+    case AttemptEnd::Oversized:
     case AttemptEnd::Failed:
         replica.avoid(now);
         replica.lastEnd = now;
--- a/state/scheduled_sub_request.cpp
+++ b/state/scheduled_sub_request.cpp
@@ -21,6 +21,7 @@
         break;
     case AttemptEnd::Lost:
     case AttemptEnd::Dropped:
+    case AttemptEnd::Oversized:
         lastError = protocol::SubError::ConnectionLost;
         executed = true;
         break;
--- a/state/scheduler_actions.h
+++ b/state/scheduler_actions.h
@@ -47,13 +47,15 @@
     Cancelled,
     /// The reply could not be parsed or belonged to another request.
     Dropped,
+    /// The reply exceeded a size limit; the upstream may send bytes without end.
+    Oversized,
     /// The upstream executed the request and reported a failure of its own.
     Failed,
     /// Another instance uses the address; nothing was executed.
     Replaced,
 };
 
-inline constexpr std::array<EnumName<AttemptEnd>, 12> AttemptEndNames{{
+inline constexpr std::array<EnumName<AttemptEnd>, 13> AttemptEndNames{{
         {AttemptEnd::Answered, "answered"},
         {AttemptEnd::SnapshotMissing, "snapshot_missing"},
         {AttemptEnd::Shed, "shed"},
@@ -64,6 +66,7 @@
         {AttemptEnd::TimedOut, "timed_out"},
         {AttemptEnd::Cancelled, "cancelled"},
         {AttemptEnd::Dropped, "dropped"},
+        {AttemptEnd::Oversized, "oversized"},
         {AttemptEnd::Failed, "failed"},
         {AttemptEnd::Replaced, "replaced"},
 }};
--- /dev/null
+++ b/tests/forward/test_misbehaving_upstreams.cpp
@@ -0,0 +1,177 @@
+#include "tests/forward/forwarder_fixture.h"
+
+#include <doctest/doctest.h>
+
+#include <chrono>
+
+using namespace persimmon;
+using namespace persimmon::tests;
+using std::chrono::milliseconds;
+
+namespace {
+
+using Fixture = ForwarderFixture;
+
+std::string idField(const std::string &id)
+{
+    return "X-Id: " + id + "\r\n";
+}
+
+std::string answerTo(const std::string &id)
+{
+    return makeResponse("body of " + id, "sig", idField(id));
+}
+
+/// A late response to an earlier request on the same connection.
+struct LateResponse
+{
+    std::string description;
+    std::string bytes;
+};
+
+std::vector<LateResponse> lateResponses()
+{
+    const std::string notRun = "X-Not-Run: 1\r\n";
+    return {{"second copy", answerTo("i1")},
+            {"copy without an id", makeResponse("body of i1", "sig")},
+            {"failure without an id", makeResponse("", "", "", 500)},
+            {"rejection with the earlier id", makeResponse("", "", idField("i1") + notRun, 503)},
+            {"rejection without an id", makeResponse("", "", notRun, 503)},
+            {"wrong instance without an id", makeResponse("", "", notRun, 421)}};
+}
+
+/// Bytes that are sent again and again, after a start that makes them part of a message.
+struct EndlessResponse
+{
+    std::string description;
+    std::string start;
+    std::string repeated;
+};
+
+std::vector<EndlessResponse> endlessResponses()
+{
+    const std::string ok = "HTTP/1.1 200 OK\r\nX-Sign: sig\r\n";
+    const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
+    const std::string filler(16U * 1024U, 'x');
+    return {{"header fields", ok, "X-Filler: " + std::string(1000, 'x') + "\r\n"},
+            {"one header line", ok + "X-Filler: ", filler},
+            {"status line", "", filler},
+            {"interim responses", "", "HTTP/1.1 102 Processing\r\n\r\n"},
+            {"body without a length", ok + "Connection: close\r\n\r\n", filler},
+            {"chunks", chunked, "4000\r\n" + filler + "\r\n"},
+            {"chunk extension", chunked + "4;", filler},
+            {"chunk size", chunked, std::string(1024, '0')},
+            {"trailer fields", chunked + "0\r\n", "X-Filler: " + std::string(1000, 'x') + "\r\n"}};
+}
+
+} // namespace
+
+// Guards against a late second response that is delivered to the next caller, or that refuses a
+// request which the upstream has executed.
+TEST_CASE_FIXTURE(Fixture, "a late response to an earlier request is never taken for the next one")
+{
+    std::string late;
+    const RawUpstream upstream([&late](const std::string &request) {
+        const auto id = fieldOf(request, "X-Id");
+        return RawResponse{id == "i1" ? answerTo(id) : late + answerTo(id), false};
+    });
+    addUpstream("s", "u1", upstream);
+    start();
+    for (const auto &response : lateResponses()) {
+        for (const std::string target : {"/s/", "/once/"}) {
+            CAPTURE(response.description);
+            CAPTURE(target);
+            late = response.bytes;
+            CHECK(bodyOf(callWithId("i1", target)) == "body of i1");
+            CHECK(bodyOf(callWithId("i2", target)) == "body of i2");
+        }
+    }
+}
+
+// Guards against a late response that no id tells from the response to the next request.
+TEST_CASE_FIXTURE(Fixture, "a connection to an upstream that does not echo ids carries one request")
+{
+    const RawUpstream upstream(respondWith(makeResponse("body", "sig")));
+    addUpstream("s", "u1", upstream);
+    start();
+    CHECK(bodyOf(call("/s/")) == "body");
+    CHECK(bodyOf(call("/s/")) == "body");
+    CHECK(upstream.connectionCount() == 2);
+}
+
+// Guards against a late response that stands in for a response that never arrives.
+TEST_CASE_FIXTURE(Fixture,
+                  "a request whose only response belongs to another one has no known result")
+{
+    std::string late;
+    const RawUpstream upstream([&late](const std::string &request) {
+        const auto id = fieldOf(request, "X-Id");
+        return id == "i1" ? RawResponse{answerTo(id), false} : RawResponse{late, true};
+    });
+    addUpstream("s", "u1", upstream);
+    start();
+    for (const auto &response : lateResponses()) {
+        CAPTURE(response.description);
+        late = response.bytes;
+        CHECK(bodyOf(callWithId("i1", "/once/")) == "body of i1");
+        CHECK(statusOf(callWithId("i2", "/once/")) == 502);
+    }
+}
+
+// Guards against upstreams that hold a request, memory and the processor by sending bytes without
+// end.
+TEST_CASE_FIXTURE(Fixture, "bytes without end are cut off and the request is served elsewhere")
+{
+    for (const auto &response : endlessResponses()) {
+        CAPTURE(response.description);
+        Fixture host;
+        const RawUpstream endless([&](const std::string &) {
+            return RawResponse{response.start, false, milliseconds(0), response.repeated};
+        });
+        const RawUpstream good(respondWith(makeResponse("body", "sig")));
+        host.addUpstream("s", "u1", endless);
+        host.addUpstream("s", "u2", good);
+        host.start();
+        const auto begin = std::chrono::steady_clock::now();
+        for (int i = 0; i < 6; ++i)
+            CHECK(bodyOf(host.call("/s/")) == "body");
+        CHECK(std::chrono::steady_clock::now() - begin < milliseconds(1500));
+        CHECK(!endless.requests().empty());
+        CHECK(endless.abandonedCount() == static_cast<int>(endless.requests().size()));
+    }
+}
+
+// Guards against a refusal, which promises that nothing was executed, after endless bytes.
+TEST_CASE_FIXTURE(Fixture, "a non-idempotent request that is answered without end has no known "
+                           "result")
+{
+    for (const auto &response : endlessResponses()) {
+        CAPTURE(response.description);
+        Fixture host;
+        const RawUpstream endless([&](const std::string &) {
+            return RawResponse{response.start, false, milliseconds(0), response.repeated};
+        });
+        host.addUpstream("s", "u1", endless);
+        host.start();
+        CHECK(statusOf(host.call("/once/")) == 502);
+        CHECK(endless.requests().size() == 1);
+    }
+}
+
+// Guards against a process whose memory is exhausted by many responses, each below the limit.
+TEST_CASE("the receive budget limits incomplete messages in sum")
+{
+    forward::ReceiveBudget budget(100);
+    forward::ReceiveBudget::Share first(budget);
+    CHECK(first.growTo(60));
+    {
+        forward::ReceiveBudget::Share second(budget);
+        CHECK(second.growTo(40));
+        CHECK_FALSE(second.growTo(41));
+        CHECK(budget.used() == 100);
+    }
+    CHECK(budget.used() == 60);
+    CHECK(first.growTo(50));
+    CHECK(first.growTo(100));
+    CHECK_FALSE(first.growTo(101));
+}
--- a/tests/support/raw_http.cpp
+++ b/tests/support/raw_http.cpp
@@ -95,6 +95,12 @@
     return requests_;
 }
 
+std::size_t RawUpstream::connectionCount() const
+{
+    const std::lock_guard lock(mutex_);
+    return sockets_.size();
+}
+
 void RawUpstream::accept()
 {
     while (!stopping_) {
--- a/tests/support/raw_http.h
+++ b/tests/support/raw_http.h
@@ -39,6 +39,8 @@
     /// @return the received requests.
     std::vector<std::string> requests() const;
 
+    std::size_t connectionCount() const;
+
     /// @return the number of connections that the client closed while a request was handled.
     int abandonedCount() const { return abandonedCount_; }
 
--- a/tests/system/platform_cluster.cpp
+++ b/tests/system/platform_cluster.cpp
@@ -167,8 +167,9 @@
         return options_.requestHandler(id, request);
     if (dropResponses_)
         return {"", true};
-    const auto stamp = "X-Response-Stamp: " + options_.serviceOf.at(id) + "\r\n";
-    RawResponse result{makeResponse(std::string(16, id.front()), "", stamp)};
+    const auto fields = "X-Response-Stamp: " + options_.serviceOf.at(id)
+                        + "\r\nX-Request-Id: " + fieldOf(request, "X-Request-Id") + "\r\n";
+    RawResponse result{makeResponse(std::string(16, id.front()), "", fields)};
     result.delay = std::chrono::milliseconds(5);
     return result;
 }
