Hedge a shard at another dispatcher only if the first one is silent

Entries hedged shards of dispatchers that were answering other requests at that moment, when a loaded machine paused everything for 30 ms. Ruled out: a fault of the ramp inside one dispatcher; requests beyond its own limit do not occur.

--- a/entry/dispatcher_link.cpp
+++ b/entry/dispatcher_link.cpp
@@ -94,6 +94,13 @@
     return health_.hedgeDelay(limit);
 }
 
+bool DispatcherLink::shouldHedge(transport::TimePoint sentAt, transport::TimePoint dueAt,
+                                 transport::Duration limit) const
+{
+    const std::lock_guard lock(healthMutex_);
+    return health_.shouldHedge(sentAt, dueAt, limit, runtime_.clock().now());
+}
+
 void DispatcherLink::close()
 {
     asio::post(strand_, [self = shared_from_this()] {
--- a/entry/dispatcher_link.h
+++ b/entry/dispatcher_link.h
@@ -61,6 +61,10 @@
     /// @return the time after which a shard without an answer is hedged.
     transport::Duration hedgeDelay(transport::Duration limit) const;
 
+    /// @return whether a shard that was sent at @p sentAt and has no answer should be hedged now.
+    bool shouldHedge(transport::TimePoint sentAt, transport::TimePoint dueAt,
+                     transport::Duration limit) const;
+
     /// Closes the connection.
     void close();
 
--- a/standin/simulated_upstream.cpp
+++ b/standin/simulated_upstream.cpp
@@ -150,7 +150,7 @@
         co_return refuse(UpstreamRefusal::Shed);
     if (admission == AdmissionDecision::Overload) {
         ++log_.counters(settings_.name).coldOverloads;
-        logOverload();
+        logOverload(*task);
         crash();
         co_return co_await waitForClose();
     }
@@ -166,7 +166,7 @@
     co_return co_await runTask(task);
 }
 
-void SimulatedUpstream::logOverload() const
+void SimulatedUpstream::logOverload(const Task &arriving) const
 {
     std::string tasks;
     for (const auto &task : tasks_) {
@@ -183,6 +183,8 @@
     transport::logWarning("standin", "cold upstream overloaded; restarting it",
                           {{"upstream", settings_.name},
                            {"limit", std::to_string(slots_.limit())},
+                           {"arriving", arriving.request.requestId + "#"
+                                                + std::to_string(arriving.request.attempt)},
                            {"tasks", tasks}});
 }
 
--- a/standin/simulated_upstream.h
+++ b/standin/simulated_upstream.h
@@ -98,7 +98,7 @@
     Response handle(std::shared_ptr<Connection> connection, transport::HttpRequest request);
     Response handleExecute(transport::HttpRequest request);
     Response runTask(TaskPointer task);
-    void logOverload() const;
+    void logOverload(const Task &arriving) const;
     transport::HttpResponse handleCancel(const transport::HttpRequest &request);
     transport::HttpResponse healthResponse() const;
     transport::HttpResponse loadResponse() const;
--- a/state/link_health.cpp
+++ b/state/link_health.cpp
@@ -20,6 +20,13 @@
     suspect_ = suspect_ || overdue_ >= SuspectThreshold;
 }
 
+bool LinkHealth::shouldHedge(TimePoint sentAt, TimePoint dueAt, Duration limit, TimePoint now) const
+{
+    const bool responsive = !suspect_ && lastReceived_ > now - MinHedgeDelay;
+    const bool delayed = now - dueAt > MaxTimerDelay;
+    return (!responsive && !delayed) || now >= sentAt + limit / HedgeDeadlineDivisor;
+}
+
 Duration LinkHealth::hedgeDelay(Duration limit) const
 {
     const auto maxDelay = limit / HedgeDeadlineDivisor;
--- a/state/link_health.h
+++ b/state/link_health.h
@@ -8,6 +8,9 @@
 /// like an unresponsive dispatcher.
 inline constexpr std::chrono::milliseconds MinHedgeDelay{25};
 
+/// A hedge timer that expires later than this shows that the process itself was paused.
+inline constexpr std::chrono::milliseconds MaxTimerDelay{10};
+
 /// A shard is hedged after this multiple of the 95th percentile latency of its link.
 inline constexpr int HedgeLatencyFactor = 3;
 
@@ -30,6 +33,15 @@
     /// Records that a shard request sent at @p sentAt has no answer after its hedge delay.
     void onOverdue(TimePoint sentAt);
 
+    /// Decides whether a shard without an answer should be sent to another dispatcher as well.
+    /// While the dispatcher answers other requests it hedges slow upstreams itself, and a second
+    /// one would add executions beyond the share of both. If this process was delayed itself, the
+    /// answer may be waiting to be read. Only a long delay overrides this.
+    /// @param sentAt time at which the shard was sent.
+    /// @param dueAt time at which the hedge was due.
+    /// @param limit time limit of the query.
+    bool shouldHedge(TimePoint sentAt, TimePoint dueAt, Duration limit, TimePoint now) const;
+
     /// Records the loss of the connection; the link is suspect until a frame is received.
     void onLost() { suspect_ = true; }
 
--- a/state/query_merge.cpp
+++ b/state/query_merge.cpp
@@ -126,8 +126,8 @@
         auto &state = states_[i];
         if (!isAwaited(state) || now < state.hedgeAt)
             continue;
-        state.hedgeAt = TimePoint::max();
-        overdue.push_back({i, state.openBatches.back(), state.postponed});
+        const auto dueAt = std::exchange(state.hedgeAt, TimePoint::max());
+        overdue.push_back({i, state.openBatches.back(), state.postponed, dueAt});
     }
     return overdue;
 }
--- a/state/query_merge.h
+++ b/state/query_merge.h
@@ -36,6 +36,8 @@
     std::uint64_t batchId = 0;
     /// Whether the hedge of this request was due before and was postponed.
     bool postponed = false;
+    /// Time at which the hedge was due.
+    TimePoint dueAt{};
 };
 
 /// Merges the shard results of one query plan. Not thread-safe.
--- a/tests/state/test_link_health.cpp
+++ b/tests/state/test_link_health.cpp
@@ -133,6 +133,30 @@
 
 } // namespace
 
+// Guards against a second dispatcher that executes shards of one that is alive, which overloads
+// cold upstreams: each dispatcher counts only its own executions.
+TEST_CASE("a shard is hedged only if its dispatcher is silent or the delay is long")
+{
+    constexpr auto Limit = 300ms;
+    LinkHealth link;
+    const TimePoint start{};
+    const auto shouldHedge = [&](std::chrono::milliseconds sent, std::chrono::milliseconds now) {
+        return link.shouldHedge(start + sent, start + now, Limit, start + now);
+    };
+    link.onReceived(start);
+    CHECK_FALSE(shouldHedge(0ms, 20ms));
+    link.onReceived(start + 20ms);
+    CHECK_FALSE(shouldHedge(0ms, 40ms));
+    CHECK(shouldHedge(0ms, 20ms + MinHedgeDelay));
+    link.onReceived(start + 99ms);
+    CHECK(shouldHedge(0ms, 100ms));
+    link.onLost();
+    CHECK(shouldHedge(90ms, 100ms));
+    // The timer expired late, so the answer may not have been read yet.
+    CHECK_FALSE(link.shouldHedge(start, start + 25ms, Limit, start + 60ms));
+    CHECK(link.shouldHedge(start, start + 25ms, Limit, start + 100ms));
+}
+
 // Guards against an unresponsive dispatcher that still receives work, a responsive one that is
 // marked suspect, and hedges that are too early or after the deadline.
 TEST_CASE("link health matches a reference model on random schedules")
