Bound the framing of HTTP messages and drain HttpServer without cutting requests

Cause: read buffers grew without limit while a chunk extension went on, from callers, peers, the store and upstreams of the own interface. HttpServer (the entry's callers, directory, peers) closed connections with half a request and reset its backlog, and could execute a request after it had closed its connection. A client kept a connection with bytes behind the response and read them as the next response. Ruled out: header and body limits of the parser; they don't cover framing.

--- a/forward/forwarding_client.h
+++ b/forward/forwarding_client.h
@@ -60,15 +60,12 @@
 
 private:
     using Socket = boost::asio::ip::tcp::socket;
-    /// Bounds the memory of a message whose framing never ends. Bodies are moved out of the buffer
-    /// while they arrive.
-    static constexpr std::size_t MaxBufferedBytes = 128U * 1024U;
     struct Connection
     {
         explicit Connection(const boost::asio::any_io_executor &executor) : socket(executor) {}
 
         Socket socket;
-        boost::beast::flat_buffer buffer{MaxBufferedBytes};
+        boost::beast::flat_buffer buffer{transport::MaxBufferedBytes};
         transport::TimePoint idleSince;
         /// Idle time after which the upstream closes the connection.
         std::chrono::milliseconds idleTimeout{0};
--- a/forward/frontend_server.cpp
+++ b/forward/frontend_server.cpp
@@ -33,6 +33,7 @@
 /// socket with unread input resets the connection, and the caller may lose the response.
 constexpr std::size_t DiscardChunkBytes = 16U * 1024U;
 constexpr std::size_t MaxDiscardBytes = 4U * 1024U * 1024U;
+constexpr std::size_t ReadChunkBytes = 64U * 1024U;
 constexpr int RequestTimeoutStatus = 408;
 
 bool isCallerDisconnected(asio::ip::tcp::socket &socket)
@@ -178,6 +179,8 @@
     RequestParser parser;
     parser.header_limit(limits_.headerBytes);
     parser.body_limit(limits_.bodyBytes);
+    // Bounds framing that never ends, such as a chunk extension.
+    session->buffer.max_size(limits_.headerBytes + ReadChunkBytes);
     const auto error = co_await readRequest(session, parser);
     if (error && session->timedOut)
         co_return co_await reject(session, RequestTimeoutStatus);
--- a/tests/forward/test_frontend_server.cpp
+++ b/tests/forward/test_frontend_server.cpp
@@ -208,6 +208,22 @@
     CHECK(waitForConnectionCount(0));
 }
 
+// Guards against a caller that fills the memory with framing that never ends.
+TEST_CASE_FIXTURE(Fixture, "a chunk extension without end is rejected")
+{
+    constexpr int MaxChunks = 4096;
+    RawCaller caller(port);
+    caller.send(std::string(RequestHead) + "Transfer-Encoding: chunked\r\n\r\n4;");
+    const std::string filler(16U * 1024U, 'x');
+    int sent = 0;
+    while (sent < MaxChunks && caller.send(filler))
+        ++sent;
+    CHECK(sent < MaxChunks);
+    CHECK(executed == 0);
+    caller.close();
+    CHECK(waitForConnectionCount(0));
+}
+
 // Guards against a caller that sends bytes without end after its request was rejected.
 TEST_CASE_FIXTURE(Fixture, "a rejected caller that keeps sending is disconnected")
 {
--- a/tests/support/raw_http.cpp
+++ b/tests/support/raw_http.cpp
@@ -196,9 +196,9 @@
     close();
 }
 
-void RawCaller::send(const std::string &text) const
+bool RawCaller::send(const std::string &text) const
 {
-    ::send(socket_, text.data(), text.size(), MSG_NOSIGNAL);
+    return ::send(socket_, text.data(), text.size(), MSG_NOSIGNAL) >= 0;
 }
 
 std::string RawCaller::receive(std::chrono::milliseconds timeout) const
--- a/tests/support/raw_http.h
+++ b/tests/support/raw_http.h
@@ -87,7 +87,8 @@
     RawCaller(const RawCaller &) = delete;
     RawCaller &operator=(const RawCaller &) = delete;
 
-    void send(const std::string &text) const;
+    /// @return false if the connection has been closed.
+    bool send(const std::string &text) const;
 
     /// Receives one response.
     /// @return the response, or the bytes received before the connection closed or @p timeout
--- a/tests/transport/test_http.cpp
+++ b/tests/transport/test_http.cpp
@@ -1,9 +1,11 @@
+#include "tests/support/raw_http.h"
 #include "transport/transport.h"
 
 #include <boost/asio/use_future.hpp>
 #include <doctest/doctest.h>
 
 #include <future>
+#include <thread>
 
 using namespace persimmon;
 using namespace persimmon::transport;
@@ -26,6 +28,89 @@
 
 } // namespace
 
+// Guards against a shutdown that cuts off a request of which only a part has arrived.
+TEST_CASE("drain waits for the rest of a request")
+{
+    Runtime runtime(2);
+    HttpServer server(runtime, [&](HttpRequest request) -> asio::awaitable<HttpResponse> {
+        co_return HttpResponse{200, request.body};
+    });
+    const auto endpoint = valueOf(server.listen(loopback()));
+    runtime.start();
+    tests::RawCaller caller(endpoint.port());
+    caller.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbo");
+    std::this_thread::sleep_for(100ms);
+    auto drained = asio::co_spawn(runtime.makeStrand(), server.drain(), asio::use_future);
+    std::this_thread::sleep_for(100ms);
+    caller.send("dy");
+    CHECK(tests::statusOf(caller.receive()) == 200);
+    CHECK(drained.wait_for(2s) == std::future_status::ready);
+    runtime.stop();
+}
+
+// Guards against connections that the kernel has accepted, and resets when the listener is closed.
+TEST_CASE("drain serves the connections in the backlog")
+{
+    constexpr int CallerCount = 20;
+    Runtime runtime(1);
+    HttpServer server(runtime, [&](HttpRequest request) -> asio::awaitable<HttpResponse> {
+        co_return HttpResponse{200, request.body};
+    });
+    const auto endpoint = valueOf(server.listen(loopback()));
+    // The runtime starts only after the callers have connected and the drain is due.
+    std::vector<std::unique_ptr<tests::RawCaller>> callers;
+    for (int i = 0; i < CallerCount; ++i) {
+        callers.push_back(std::make_unique<tests::RawCaller>(endpoint.port()));
+        callers.back()->send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    }
+    auto drained = asio::co_spawn(runtime.makeStrand(), server.drain(), asio::use_future);
+    runtime.start();
+    int served = 0;
+    for (const auto &caller : callers)
+        served += tests::statusOf(caller->receive()) == 200 ? 1 : 0;
+    CHECK(served == CallerCount);
+    CHECK(drained.wait_for(2s) == std::future_status::ready);
+    runtime.stop();
+}
+
+// Guards against a late second response that is read as the response to the next request.
+TEST_CASE("a connection is closed if bytes follow a response")
+{
+    Runtime runtime(1);
+    const tests::RawUpstream server([](const std::string &) {
+        const auto response = tests::makeResponse("body", "");
+        return tests::RawResponse{response + response, false};
+    });
+    runtime.start();
+    const auto connection = std::make_shared<HttpConnection>(runtime.makeStrand());
+    const auto endpoint = valueOf(parseEndpoint(server.address()));
+    REQUIRE(isOk(await(runtime, connection->connect(endpoint, 1s))));
+    HttpRequest request("GET", "/");
+    CHECK(isOk(await(runtime, connection->send(request, 1s))));
+    CHECK_FALSE(connection->isOpen());
+    runtime.stop();
+}
+
+// Guards against a peer that fills the memory with framing that never ends.
+TEST_CASE("a response whose framing never ends closes the connection")
+{
+    Runtime runtime(1);
+    const tests::RawUpstream server([](const std::string &) {
+        return tests::RawResponse{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4;", false,
+                                  0ms, std::string(16U * 1024U, 'x')};
+    });
+    runtime.start();
+    const auto connection = std::make_shared<HttpConnection>(runtime.makeStrand());
+    const auto endpoint = valueOf(parseEndpoint(server.address()));
+    REQUIRE(isOk(await(runtime, connection->connect(endpoint, 1s))));
+    HttpRequest request("GET", "/");
+    const auto result = await(runtime, connection->send(request, 3s));
+    REQUIRE_FALSE(isOk(result));
+    CHECK(errorOf(result).code == TransportErrorCode::TooLarge);
+    CHECK_FALSE(connection->isOpen());
+    runtime.stop();
+}
+
 // Guards against a shutdown that aborts a request in progress.
 TEST_CASE("drain waits for the active request")
 {
--- a/transport/http_connection.cpp
+++ b/transport/http_connection.cpp
@@ -25,7 +25,8 @@
     auto code = TransportErrorCode::ConnectionLost;
     if (error == beast::error::timeout)
         code = TransportErrorCode::Timeout;
-    else if (error == http::error::body_limit)
+    else if (error == http::error::body_limit || error == http::error::header_limit
+             || error == http::error::buffer_overflow)
         code = TransportErrorCode::TooLarge;
     else if (error.category() == make_error_code(http::error::bad_version).category()
              && error != http::error::end_of_stream && error != http::error::partial_message)
@@ -82,7 +83,8 @@
     }
     stream_.expires_never();
     auto response = parser.release();
-    if (!response.keep_alive())
+    // Bytes after the response would be read as the response to the next request.
+    if (!response.keep_alive() || buffer_.size() > 0)
         closeNow();
     co_return HttpResponse{static_cast<int>(response.result_int()), std::move(response.body()),
                            std::string(response[http::field::content_type])};
--- a/transport/http_connection.h
+++ b/transport/http_connection.h
@@ -45,7 +45,7 @@
     void closeNow();
 
     boost::beast::tcp_stream stream_;
-    boost::beast::flat_buffer buffer_;
+    boost::beast::flat_buffer buffer_{MaxBufferedBytes};
     std::string hostHeader_;
     std::atomic<bool> open_ = false;
 };
--- a/transport/http_message.h
+++ b/transport/http_message.h
@@ -44,6 +44,10 @@
 };
 
 /// Default maximum size of a message body for servers and clients, in bytes.
+/// Size of the read buffer of a connection. Bodies are moved out of it while they arrive, so that
+/// it bounds headers and framing, also if they never end.
+inline constexpr std::size_t MaxBufferedBytes = 128U * 1024U;
+
 inline constexpr std::size_t DefaultMaxBodyBytes = 32U * 1024U * 1024U;
 
 } // namespace persimmon::transport
--- a/transport/http_server.cpp
+++ b/transport/http_server.cpp
@@ -9,6 +9,8 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <tuple>
+
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
@@ -20,6 +22,8 @@
 
 constexpr auto AwaitTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::chrono::milliseconds DrainPollInterval{10};
+/// Time for the rest of a request that has arrived in part when a drain starts.
+constexpr std::chrono::seconds DrainReadTime{1};
 
 /// Limits for reading and discarding the body of a rejected request before the connection is
 /// closed.
@@ -37,7 +41,15 @@
         stream.socket().close(ignored);
     }
 
+    /// @return whether no byte of a request has arrived.
+    bool isIdle()
+    {
+        beast::error_code ignored;
+        return !busy && buffer.size() == 0 && stream.socket().available(ignored) == 0;
+    }
+
     beast::tcp_stream stream;
+    beast::flat_buffer buffer{MaxBufferedBytes};
     bool busy = false;
 };
 
@@ -70,6 +82,12 @@
         }
     }
 
+    bool hasSessions()
+    {
+        const std::lock_guard lock(mutex);
+        return !sessions.empty();
+    }
+
     void remove(const std::shared_ptr<Session> &session)
     {
         const std::lock_guard lock(mutex);
@@ -78,8 +96,9 @@
 
     asio::awaitable<bool> write(Session &session, HttpResponse response, unsigned version,
                                 bool keepAlive);
-    asio::awaitable<bool> serveRequest(Session &session, beast::flat_buffer &buffer,
-                                       const HttpHandler &connectionHandler);
+    asio::awaitable<bool> serveRequest(Session &session, const HttpHandler &connectionHandler);
+    void startSession(const std::shared_ptr<State> &self, tcp::socket socket);
+    static void stopListening(const std::shared_ptr<State> &self);
     static asio::awaitable<void> discardInput(Session &session);
     static asio::awaitable<void> serve(std::shared_ptr<State> self,
                                        std::shared_ptr<Session> session);
@@ -113,22 +132,28 @@
     }
 }
 
-asio::awaitable<bool> HttpServer::State::serveRequest(Session &session, beast::flat_buffer &buffer,
+asio::awaitable<bool> HttpServer::State::serveRequest(Session &session,
                                                       const HttpHandler &connectionHandler)
 {
     http::request_parser<http::string_body> parser;
     parser.body_limit(options.maxBodyBytes);
     session.stream.expires_after(options.idleTimeout);
-    const auto [error, bytes] =
-            co_await http::async_read(session.stream, buffer, parser, AwaitTuple);
+    auto [error, bytes] =
+            co_await http::async_read_header(session.stream, session.buffer, parser, AwaitTuple);
+    // From here on, the buffer does not show that a request has arrived in part.
+    session.busy = true;
+    if (!error && !parser.is_done()) {
+        std::tie(error, bytes) =
+                co_await http::async_read(session.stream, session.buffer, parser, AwaitTuple);
+    }
     if (error == http::error::body_limit) {
         co_await write(session, options.makeTooLargeResponse(), 11, false);
         co_await discardInput(session);
         co_return false;
     }
-    if (error)
+    // A closed session cannot answer, so its request must not be executed.
+    if (error || !session.stream.socket().is_open())
         co_return false;
-    session.busy = true;
     session.stream.expires_never();
     auto message = parser.release();
     HttpRequest request{std::string(message.method_string()), std::string(message.target()),
@@ -154,11 +179,10 @@
 asio::awaitable<void> HttpServer::State::serve(std::shared_ptr<State> self,
                                                std::shared_ptr<Session> session)
 {
-    beast::flat_buffer buffer;
     const HttpHandler connectionHandler =
             self->options.connectionHandler ? self->options.connectionHandler() : self->handler;
-    while (connectionHandler && (!self->draining || buffer.size() > 0)) {
-        if (!co_await self->serveRequest(*session, buffer, connectionHandler))
+    while (connectionHandler) {
+        if (!co_await self->serveRequest(*session, connectionHandler))
             break;
     }
     beast::error_code ignored;
@@ -179,17 +203,36 @@
             co_await self->runtime.clock().sleep(DrainPollInterval);
             continue;
         }
-        beast::error_code ignored;
-        socket.set_option(tcp::no_delay(true), ignored);
-        auto session = std::make_shared<Session>(std::move(socket));
-        {
-            const std::lock_guard lock(self->mutex);
-            self->sessions.insert(session);
-        }
-        asio::co_spawn(session->stream.get_executor(), serve(self, session), asio::detached);
+        self->startSession(self, std::move(socket));
     }
 }
 
+void HttpServer::State::startSession(const std::shared_ptr<State> &self, tcp::socket socket)
+{
+    beast::error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    auto session = std::make_shared<Session>(std::move(socket));
+    {
+        const std::lock_guard lock(mutex);
+        sessions.insert(session);
+    }
+    asio::co_spawn(session->stream.get_executor(), serve(self, session), asio::detached);
+}
+
+void HttpServer::State::stopListening(const std::shared_ptr<State> &self)
+{
+    // The kernel resets the connections that wait in the backlog of a closed listener.
+    beast::error_code error;
+    self->acceptor.non_blocking(true, error);
+    while (!error) {
+        tcp::socket socket(self->runtime.makeStrand());
+        self->acceptor.accept(socket, error);
+        if (!error)
+            self->startSession(self, std::move(socket));
+    }
+    self->acceptor.close(error);
+}
+
 HttpServer::HttpServer(Runtime &runtime, HttpHandler handler, HttpServerOptions options)
     : state_(std::make_shared<State>(runtime, std::move(handler), std::move(options))),
       runtime_(runtime)
@@ -213,16 +256,20 @@
 {
     const auto state = state_;
     state->draining = true;
-    asio::post(state->acceptor.get_executor(), [state] {
-        boost::system::error_code ignored;
-        state->acceptor.close(ignored);
-    });
-    state->forEachSession([](Session &session) {
-        if (!session.busy)
-            session.close();
-    });
-    while (state->active > 0)
+    asio::post(state->acceptor.get_executor(), [state] { State::stopListening(state); });
+    const auto readUntil = runtime_.clock().now() + DrainReadTime;
+    while (true) {
         co_await runtime_.clock().sleep(DrainPollInterval);
+        state->forEachSession([](Session &session) {
+            if (session.isIdle())
+                session.close();
+        });
+        const bool reading = state->hasSessions() && runtime_.clock().now() < readUntil;
+        if (state->active == 0 && !reading)
+            break;
+    }
+    // Requests that are still incomplete are not executed.
+    state->forEachSession([](Session &session) { session.close(); });
 }
 
 void HttpServer::close()
