Ignore a range read that is older than the mirror

Cause: a host that had started from a peer's copy holds no tombstones of earlier deletions; a delayed range read of the store then restored a deleted record (an upstream that had left, a withdrawn key), since it was unknown. Ruled out: deltas and watches, which are filtered by revision. Before: two new cases of test_state fail (10,000 schedules with restarts, delayed replies and range reads). After: both pass.

--- a/state/record_mirror.cpp
+++ b/state/record_mirror.cpp
@@ -20,6 +20,10 @@
 std::vector<StoreRecord> RecordMirror::applySnapshot(const std::vector<StoreRecord> &items,
                                                      std::uint64_t asOf)
 {
+    // A read that is older than this copy shows nothing new, and records whose tombstones were
+    // dropped would return.
+    if (asOf < revision_)
+        return {};
     std::set<std::string> seen;
     for (const auto &item : items)
         seen.insert(item.key);
--- a/tests/state/test_record_mirror.cpp
+++ b/tests/state/test_record_mirror.cpp
@@ -44,6 +44,15 @@
 
     std::uint64_t revision() const { return revision_; }
 
+    /// @return whether @p record was overwritten or deleted at or before @p revision.
+    bool isEnded(const StoreRecord &record, std::uint64_t revision) const
+    {
+        return std::any_of(history_.begin(), history_.end(), [&](const auto &later) {
+            return later.key == record.key && later.revision > record.revision
+                   && later.revision <= revision;
+        });
+    }
+
 private:
     std::vector<StoreRecord> history_;
     std::uint64_t revision_ = 0;
@@ -119,6 +128,76 @@
     }
 }
 
+// Guards against an upstream that has left, or a key that was withdrawn, which is in use again
+// after a restart: a host starts empty from a peer that lags, from delayed replies and from range
+// reads.
+TEST_CASE("a mirror never holds a record that ended before the revision it has reached")
+{
+    struct Reply
+    {
+        RecordDelta delta;
+        /// Revision of the mirror that asked; a reply reaches only copies that are at least as new.
+        std::uint64_t after = 0;
+    };
+    constexpr std::uint32_t Seed = 20261221;
+    std::mt19937 random(Seed);
+    for (int schedule = 0; schedule < 10'000; ++schedule) {
+        ModelStore store;
+        std::array<RecordMirror, 3> mirrors;
+        std::vector<Reply> delayed;
+        for (int step = 0; step < 40; ++step) {
+            auto &mirror = mirrors.at(random() % mirrors.size());
+            const auto key = std::string(1, static_cast<char>('a' + random() % 6));
+            switch (random() % 6) {
+            case 0:
+            case 1:
+                store.write(key,
+                            random() % 2 == 0 ? std::nullopt : std::optional(std::to_string(step)));
+                break;
+            case 2:
+                mirror.apply(store.changesAfter(mirror.revision()), store.revision());
+                break;
+            case 3: {
+                RecordDelta read{{}, store.revision(), true};
+                for (const auto &[name, record] : store.items())
+                    read.records.push_back(record);
+                delayed.push_back({read, 0});
+                break;
+            }
+            case 4:
+                mirror = RecordMirror();
+                break;
+            default: {
+                const auto &peer = mirrors.at(random() % mirrors.size());
+                delayed.push_back({peer.deltaSince(mirror.revision()), mirror.revision()});
+                const auto &reply = delayed[random() % delayed.size()];
+                if (mirror.revision() >= reply.after)
+                    mirror.apply(reply.delta);
+            }
+            }
+            for (const auto &record : mirror.records())
+                REQUIRE_FALSE(store.isEnded(record, mirror.revision()));
+        }
+    }
+}
+
+// Guards against a deleted record that an old range read restores after its tombstone was dropped.
+TEST_CASE("a range read that is older than the mirror restores nothing")
+{
+    RecordMirror mirror;
+    mirror.apply({{"left", 1, "x"}}, 1);
+    std::vector<StoreRecord> changes{{"left", 2, std::nullopt}};
+    std::uint64_t revision = 2;
+    for (std::size_t i = 0; i < 2 * RecordMirror::MaxTombstones; ++i) {
+        const auto key = std::to_string(i);
+        changes.push_back({key, ++revision, "x"});
+        changes.push_back({key, ++revision, std::nullopt});
+    }
+    mirror.apply(changes, revision);
+    CHECK(mirror.applySnapshot({{"left", 1, "x"}}, 1).empty());
+    CHECK(mirror.records().empty());
+}
+
 TEST_CASE("changes that are already known are not reported again")
 {
     // Guards against schedulers that are reconfigured by each repeated record.
