Test that a response which breaks off anywhere is neither success nor refusal

Shows, at each byte of a response with a length and of a chunked one, ended or reset, that a request which must not be repeated gets 502 and runs once, and that a part is left out of a merged response; a body without a length that is reset is incomplete.

--- a/tests/forward/test_misbehaving_upstreams.cpp
+++ b/tests/forward/test_misbehaving_upstreams.cpp
@@ -64,8 +64,73 @@
             {"trailer fields", chunked + "0\r\n", "X-Filler: " + std::string(1000, 'x') + "\r\n"}};
 }
 
+/// Complete responses with a body of one record, in the framings that HTTP/1.1 allows.
+std::vector<std::string> framedResponses(const std::string &body)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nX-Sign: sig\r\n";
+    return {"HTTP/1.1 102 Processing\r\n\r\n" + makeResponse(body, "sig"),
+            head + "Transfer-Encoding: chunked\r\n\r\n8\r\n" + body.substr(0, 8) + "\r\n8\r\n"
+                    + body.substr(8) + "\r\n0\r\n\r\n"};
+}
+
 } // namespace
 
+// Guards against a success that is incomplete, a second execution, and a refusal, which promises
+// that nothing was executed, wherever a response breaks off.
+TEST_CASE_FIXTURE(Fixture, "a response that breaks off anywhere is neither a success nor a refusal")
+{
+    RawResponse broken;
+    const RawUpstream upstream([&broken](const std::string &) { return broken; });
+    addUpstream("s", "u1", upstream);
+    start();
+    std::size_t calls = 0;
+    for (const auto &response : framedResponses(std::string(state::RecordBytes, 'a'))) {
+        for (std::size_t length = 0; length < response.size(); ++length) {
+            CAPTURE(response.substr(0, length));
+            broken = {response.substr(0, length), true};
+            broken.reset = length % 2 == 1;
+            CHECK(statusOf(call("/once/", "POST")) == 502);
+            CHECK(upstream.requests().size() == ++calls);
+        }
+    }
+}
+
+// Guards against a part that is short by some records and counts as complete.
+TEST_CASE_FIXTURE(Fixture, "a part that breaks off anywhere is left out of a merged response")
+{
+    const auto record = std::string(state::RecordBytes, 'z');
+    RawResponse broken;
+    const RawUpstream first(
+            respondWith(makeResponse(std::string(state::RecordBytes, 'a'), "sig0")));
+    const RawUpstream second([&broken](const std::string &) { return broken; });
+    addUpstream("p0", "u1", first);
+    addUpstream("p1", "u2", second);
+    start();
+    for (const auto &response : framedResponses(record)) {
+        for (std::size_t length = 0; length < response.size(); ++length) {
+            CAPTURE(response.substr(0, length));
+            broken = {response.substr(0, length), true};
+            broken.reset = length % 2 == 1;
+            const auto merged = call("/g/");
+            CHECK(statusOf(merged) == 200);
+            CHECK(fieldOf(merged, "X-Missing") == "1");
+            CHECK(fieldOf(merged, "X-Parts") == "sig0");
+        }
+    }
+}
+
+// Guards against a body without a length that was reset and counts as complete.
+TEST_CASE_FIXTURE(Fixture, "a response without a length that is reset is incomplete")
+{
+    RawResponse response{"HTTP/1.1 200 OK\r\nX-Sign: sig\r\nConnection: close\r\n\r\nbody", true};
+    response.reset = true;
+    const RawUpstream upstream([&response](const std::string &) { return response; });
+    addUpstream("s", "u1", upstream);
+    start();
+    CHECK(statusOf(call("/once/", "POST")) == 502);
+    CHECK(upstream.requests().size() == 1);
+}
+
 // Guards against a late second response that is delivered to the next caller, or that refuses a
 // request which the upstream has executed.
 TEST_CASE_FIXTURE(Fixture, "a late response to an earlier request is never taken for the next one")
--- a/tests/support/raw_http.cpp
+++ b/tests/support/raw_http.cpp
@@ -136,12 +136,25 @@
         ::send(socket, response.bytes.data(), response.bytes.size(), MSG_NOSIGNAL);
         if (!response.endless.empty())
             sendEndlessly(socket, response.endless);
+        if (response.reset) {
+            resetConnection(socket);
+            return;
+        }
         if (response.close || !response.endless.empty())
             break;
     }
     ::shutdown(socket, SHUT_RDWR);
 }
 
+void RawUpstream::resetConnection(int socket)
+{
+    const std::lock_guard lock(mutex_);
+    std::erase(sockets_, socket);
+    const linger none{1, 0};
+    ::setsockopt(socket, SOL_SOCKET, SO_LINGER, &none, sizeof none);
+    ::close(socket);
+}
+
 void RawUpstream::sendEndlessly(int socket, const std::string &bytes)
 {
     while (!stopping_) {
--- a/tests/support/raw_http.h
+++ b/tests/support/raw_http.h
@@ -20,6 +20,8 @@
     std::chrono::milliseconds delay{0};
     /// If not empty, sent after the bytes again and again until the client closes the connection.
     std::string endless = {};
+    /// Whether to reset the connection after sending.
+    bool reset = false;
 };
 
 /// Upstream that sends arbitrary bytes as responses. Uses one thread per connection.
@@ -50,6 +52,8 @@
 private:
     void accept();
     void serve(int socket);
+    /// Closes a socket such that the peer receives a reset.
+    void resetConnection(int socket);
     void sendEndlessly(int socket, const std::string &bytes);
 
     Handler handler_;
