Separate the time limits of caller sessions from the front-end server

Change: SessionPhase and sessionTimeLimit are a module without I/O, with names for the log line of a closed connection.

--- a/forward/forward.h
+++ b/forward/forward.h
@@ -8,4 +8,5 @@
 #include "forward/receive_budget.h"
 #include "forward/request_forwarder.h"
 #include "forward/service_executors.h"
+#include "forward/session_phase.h"
 #include "forward/upstream_response.h"
--- a/forward/frontend_server.cpp
+++ b/forward/frontend_server.cpp
@@ -25,10 +25,6 @@
 constexpr std::chrono::milliseconds AcceptRetryDelay{10};
 constexpr std::chrono::milliseconds DrainPollInterval{20};
 constexpr std::chrono::milliseconds IdleCheckInterval{1000};
-/// Connections stay open this much longer than the idle time that is announced to callers.
-constexpr std::chrono::milliseconds IdleTimeoutMargin{1000};
-/// The first request of a new connection is usually on its way.
-constexpr std::chrono::milliseconds NewSessionDrainTime{500};
 /// The input of a rejected request is read and discarded before the connection is closed: closing a
 /// socket with unread input resets the connection, and the caller may lose the response.
 constexpr std::size_t DiscardChunkBytes = 16U * 1024U;
@@ -120,12 +116,12 @@
     beast::error_code ignored;
     socket.set_option(asio::ip::tcp::no_delay(true), ignored);
     auto session = std::make_shared<Session>(std::move(socket));
-    enterPhase(*session, Phase::New);
+    enterPhase(*session, SessionPhase::New);
     sessions_.insert(session);
     runtime_.spawn(runSession(session));
 }
 
-void FrontendServer::enterPhase(Session &session, Phase phase)
+void FrontendServer::enterPhase(Session &session, SessionPhase phase)
 {
     session.phase = phase;
     session.phaseSince = runtime_.clock().now();
@@ -136,7 +132,7 @@
     while (co_await awaitRequest(session)) {
         if (!co_await serveRequest(session))
             break;
-        enterPhase(*session, Phase::Idle);
+        enterPhase(*session, SessionPhase::Idle);
     }
     beast::error_code ignored;
     session->socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
@@ -153,7 +149,7 @@
         if (error || !session->socket.is_open())
             co_return false;
     }
-    enterPhase(*session, Phase::ReadingHeader);
+    enterPhase(*session, SessionPhase::ReadingHeader);
     co_return true;
 }
 
@@ -165,7 +161,7 @@
     if (headerError)
         co_return headerError;
     while (!parser.is_done()) {
-        enterPhase(*session, Phase::ReadingBody);
+        enterPhase(*session, SessionPhase::ReadingBody);
         const auto [error, bytes] = co_await http::async_read_some(session->socket, session->buffer,
                                                                    parser, AwaitTuple);
         if (error)
@@ -193,7 +189,7 @@
     const auto now = runtime_.clock().now();
     auto request = std::make_shared<const ForwardRequest>(makeForwardRequest(message, names_, now));
     const auto monitor = std::make_shared<CallerMonitor>();
-    enterPhase(*session, Phase::Serving);
+    enterPhase(*session, SessionPhase::Serving);
     ++activeRequests_;
     // Buffered bytes of a pipelined request show that the caller is connected. Its disconnect is
     // then detected after this response.
@@ -217,7 +213,7 @@
 {
     const auto [error] =
             co_await session->socket.async_wait(asio::ip::tcp::socket::wait_read, AwaitTuple);
-    if (error || session->phase != Phase::Serving || !isCallerDisconnected(session->socket))
+    if (error || session->phase != SessionPhase::Serving || !isCallerDisconnected(session->socket))
         co_return;
     monitor->disconnected = true;
     monitor->onDisconnect();
@@ -226,7 +222,7 @@
 asio::awaitable<bool> FrontendServer::send(SessionPtr session, CallerResponse response,
                                            bool keepAlive, bool withBody)
 {
-    enterPhase(*session, Phase::Sending);
+    enterPhase(*session, SessionPhase::Sending);
     const auto head = formatHeader(response, keepAlive);
     const std::array<asio::const_buffer, 2> buffers{
             asio::buffer(head), withBody ? asio::buffer(response.body) : asio::const_buffer()};
@@ -245,7 +241,7 @@
     CallerResponse response;
     response.status = status;
     co_await send(session, response, false, true);
-    enterPhase(*session, Phase::Discarding);
+    enterPhase(*session, SessionPhase::Discarding);
     beast::error_code ignored;
     session->socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     std::vector<char> chunk(DiscardChunkBytes);
@@ -273,45 +269,27 @@
         closeIfExpired(*session);
 }
 
-std::optional<transport::Duration> FrontendServer::timeLimit(Phase phase) const
-{
-    switch (phase) {
-    case Phase::New:
-        return listening_ ? limits_.idleTime + IdleTimeoutMargin : NewSessionDrainTime;
-    case Phase::Idle:
-        return listening_ ? limits_.idleTime + IdleTimeoutMargin : transport::Duration(0);
-    case Phase::ReadingHeader:
-    case Phase::Discarding:
-        return limits_.headerTime;
-    case Phase::ReadingBody:
-    case Phase::Sending:
-        return limits_.idleTime;
-    case Phase::Serving:
-        break;
-    }
-    return std::nullopt;
-}
-
 void FrontendServer::closeIfExpired(Session &session)
 {
-    const auto limit = timeLimit(session.phase);
+    const auto limit = sessionTimeLimit(session.phase, limits_, listening_);
     if (!limit || runtime_.clock().now() - session.phaseSince < *limit)
         return;
     beast::error_code ignored;
     switch (session.phase) {
-    case Phase::New:
-    case Phase::Idle:
+    case SessionPhase::New:
+    case SessionPhase::Idle:
         // A request that has arrived but was not read yet is still served.
         if (session.socket.available(ignored) == 0)
             session.socket.close(ignored);
         break;
-    case Phase::ReadingHeader:
-    case Phase::ReadingBody:
+    case SessionPhase::ReadingHeader:
+    case SessionPhase::ReadingBody:
         session.timedOut = true;
         session.socket.cancel(ignored);
         break;
     default:
-        transport::logWarning(Part, "closing a connection whose caller makes no progress");
+        transport::logWarning(Part, "closing a connection whose caller makes no progress",
+                              {{"phase", std::string(enumName(SessionPhaseNames, session.phase))}});
         session.socket.close(ignored);
     }
 }
--- a/forward/frontend_server.h
+++ b/forward/frontend_server.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "forward/forward_request.h"
-#include "state/routing_config.h"
+#include "forward/session_phase.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -9,7 +9,6 @@
 
 #include <functional>
 #include <memory>
-#include <optional>
 #include <set>
 
 namespace persimmon::forward {
@@ -41,30 +40,13 @@
 
 private:
     using Socket = boost::asio::ip::tcp::socket;
-    /// What a session waits for.
-    enum class Phase {
-        /// The first byte of its first request.
-        New,
-        /// The first byte of a further request.
-        Idle,
-        /// The rest of a request header.
-        ReadingHeader,
-        /// More of a request body.
-        ReadingBody,
-        /// The handler.
-        Serving,
-        /// The caller, which has to read the response.
-        Sending,
-        /// The end of the input of a rejected request.
-        Discarding,
-    };
     struct Session
     {
         explicit Session(Socket accepted) : socket(std::move(accepted)) {}
 
         Socket socket;
         boost::beast::flat_buffer buffer;
-        Phase phase = Phase::New;
+        SessionPhase phase = SessionPhase::New;
         /// Start of the phase, or of its last progress.
         transport::TimePoint phaseSince;
         /// Whether the caller took too long to send its request.
@@ -78,7 +60,7 @@
     /// Accepts the connections that wait in the backlog, which the kernel would otherwise reset.
     void acceptBacklog();
     void startSession(Socket socket);
-    void enterPhase(Session &session, Phase phase);
+    void enterPhase(Session &session, SessionPhase phase);
     boost::asio::awaitable<void> runSession(SessionPtr session);
     /// Waits for the first byte of a request without reading it, so that a session counts as idle
     /// exactly as long as nothing has arrived.
@@ -95,8 +77,6 @@
     boost::asio::awaitable<void> closeExpiredPeriodically();
     void closeExpired();
     void closeIfExpired(Session &session);
-    /// @return how long a session may stay in @p phase without progress; std::nullopt for no limit.
-    std::optional<transport::Duration> timeLimit(Phase phase) const;
 
     transport::Runtime &runtime_;
     const HeaderNames names_;
--- a/tests/forward/test_frontend_server.cpp
+++ b/tests/forward/test_frontend_server.cpp
@@ -95,6 +95,22 @@
 
 } // namespace
 
+// Guards against a drain that closes busy connections, and against phases without a time limit.
+TEST_CASE("only a session that is being served has no time limit")
+{
+    const state::CallerLimits limits{1024, 1024, milliseconds(300), milliseconds(5000)};
+    for (const auto &[phase, name] : forward::SessionPhaseNames) {
+        CAPTURE(name);
+        const auto limit = forward::sessionTimeLimit(phase, limits, true);
+        const auto drainLimit = forward::sessionTimeLimit(phase, limits, false);
+        CHECK(limit.has_value() == (phase != forward::SessionPhase::Serving));
+        const bool isIdle = phase == forward::SessionPhase::Idle;
+        CHECK((drainLimit == transport::Duration(0)) == isIdle);
+        if (phase == forward::SessionPhase::New)
+            CHECK(*drainLimit < *limit);
+    }
+}
+
 // Guards against a request of which only a part had arrived when idle connections were closed.
 TEST_CASE_FIXTURE(Fixture, "a request that is partly received when a drain closes idle connections "
                            "is served")
