Send one attempt at a time to an upstream that resets new connections

Ruled out: hosts that open beyond their share in normal running; the resets begin with the power cut. Change: after a new connection is lost, an upstream receives one attempt at a time for 4 s.

--- a/forward/forwarding_client.cpp
+++ b/forward/forwarding_client.cpp
@@ -128,18 +128,20 @@
     activeAttempts_[key] = attempt;
     startTimeoutChecks();
     attempt->connection = acquireIdle(upstream.name, idempotent);
-    bool connected = attempt->connection != nullptr;
-    if (connected) {
-        reusedConnections_.add();
-    } else {
+    const bool opened = attempt->connection == nullptr;
+    bool connected = !opened;
+    if (opened) {
         openedConnections_.add();
         connected = co_await connect(attempt, upstream.address);
+    } else {
+        reusedConnections_.add();
     }
     state::AttemptResult result;
     result.end = resolveEnd(*attempt, state::AttemptEnd::NotWritten);
     result.written = false;
     if (connected)
         result = co_await sendRequest(attempt, upstream.name, request, deadline);
+    result.newConnection = opened;
     activeAttempts_.erase(key);
     co_return result;
 }
--- a/state/replica_set.cpp
+++ b/state/replica_set.cpp
@@ -23,6 +23,10 @@
 constexpr std::chrono::seconds ReplacedTime{5};
 /// Minimum restart time of an upstream. One that was idle for longer may have restarted unnoticed.
 constexpr std::chrono::milliseconds IdleRestartTime{300};
+/// How long an upstream that lost a new connection receives one attempt at a time. Its connection
+/// limit may be used up by connections of processes that lost power, which it closes only after a
+/// timeout, and each further attempt would open a connection that it resets.
+constexpr std::chrono::seconds SingleConnectionTime{4};
 /// An upstream counts as slow if its latency exceeds this multiple of the lowest one.
 constexpr int SlowFactor = 2;
 /// Upper bound of the probe delay, which doubles while the upstream stays slow.
@@ -83,7 +87,7 @@
         if (preferred && !anyPreferred)
             candidates.clear();
         anyPreferred = anyPreferred || preferred;
-        const bool mayStart = replica.inFlight < replica.ramp.limit() && replica.cold.mayStart(now);
+        const bool mayStart = replica.inFlight < replica.limit(now) && replica.cold.mayStart(now);
         if (mayStart && preferred == anyPreferred)
             candidates.push_back(&replica);
     }
@@ -118,6 +122,11 @@
     return *cheapest;
 }
 
+std::uint32_t ReplicaSet::Replica::limit(TimePoint now) const
+{
+    return now < singleConnectionUntil ? std::min(ramp.limit(), 1U) : ramp.limit();
+}
+
 bool ReplicaSet::Replica::isSnapshotMissing(std::uint64_t snapshot, TimePoint now) const
 {
     const auto found = missing.find(snapshot);
@@ -265,6 +274,9 @@
     replica.starts.erase(start == replica.starts.end() ? replica.starts.begin() : start);
     replica.ramp.onIncarnation(result.incarnation);
     replica.recordOutcome(result.end);
+    const bool lost = result.end == AttemptEnd::Lost || result.end == AttemptEnd::NotWritten;
+    if (lost && result.newConnection)
+        replica.singleConnectionUntil = now + SingleConnectionTime;
     switch (result.end) {
     case AttemptEnd::Answered:
         replica.ramp.onSuccess(result.incarnation, latency);
--- a/state/replica_set.h
+++ b/state/replica_set.h
@@ -174,9 +174,13 @@
         std::uint32_t failuresInRow = 0;
         /// Fraction of the recent attempts without a usable answer, 0 to 1.
         double failureRate = 0;
+        /// Until this time it receives one attempt at a time, since it rejects new connections.
+        TimePoint singleConnectionUntil{};
         /// Until this time the address is assumed to belong to another upstream.
         TimePoint replacedUntil{};
 
+        /// @return maximum number of attempts in flight.
+        std::uint32_t limit(TimePoint now) const;
         bool isSnapshotMissing(std::uint64_t snapshot, TimePoint now) const;
         bool isStalled(TimePoint now) const;
         bool isPreferred(TimePoint now) const;
--- a/state/scheduler_actions.h
+++ b/state/scheduler_actions.h
@@ -81,6 +81,8 @@
     std::string items;
     /// For TimedOut and Cancelled: whether any byte may have been written.
     bool written = true;
+    /// Whether the attempt opened its connection instead of reusing one.
+    bool newConnection = false;
     /// For Answered and Failed: the answer to a forwarded request.
     std::shared_ptr<const protocol::ForwardedResponse> answer = {};
 };
--- a/tests/state/test_forwarding_schedule.cpp
+++ b/tests/state/test_forwarding_schedule.cpp
@@ -343,6 +343,31 @@
     CHECK(running.contains(arrive()));
 }
 
+TEST_CASE_FIXTURE(Fixture, "an upstream that resets new connections receives one attempt at a time")
+{
+    // After a power cut of all hosts, upstreams still count the connections of the earlier
+    // processes. Guards against each host opening as many connections as before, most of which are
+    // reset and cost a retry.
+    AttemptResult reset;
+    reset.end = AttemptEnd::Lost;
+    reset.newConnection = true;
+    const auto lost = arrive();
+    while (!replies.contains(lost))
+        apply(scheduler.onAttemptEnded(lost, running.at(lost).attempt, reset, now));
+    REQUIRE(starts["a"] > 0);
+    REQUIRE(starts["b"] > 0);
+    starts.clear();
+    for (int i = 0; i < 6; ++i)
+        arrive();
+    CHECK(starts["a"] == 1);
+    CHECK(starts["b"] == 1);
+    now += seconds(4);
+    for (int i = 0; i < 6; ++i)
+        arrive();
+    CHECK(starts["a"] == 3);
+    CHECK(starts["b"] == 3);
+}
+
 TEST_CASE("schedulers that share a timing registry use its execution times from the first request")
 {
     // A query over 20 shards right after a start. Guards against hedges after the default delay
