Send one attempt at a time to an upstream until it has answered

Cause: the first burst after a power cut of all hosts opened every connection of a host's share at once, while upstreams still counted those of the earlier processes. Ruled out: reacting to resets alone; the first burst comes before any reset is known. Change: a replica that has not answered yet receives one attempt at a time. Two replay tests ('new work avoids a stalled upstream' and the one of resets) now let both upstreams answer first, since they are about upstreams in use; their checks are unchanged.

--- a/state/replica_set.cpp
+++ b/state/replica_set.cpp
@@ -124,7 +124,8 @@
 
 std::uint32_t ReplicaSet::Replica::limit(TimePoint now) const
 {
-    return now < singleConnectionUntil ? std::min(ramp.limit(), 1U) : ramp.limit();
+    const bool single = !answered || now < singleConnectionUntil;
+    return single ? std::min(ramp.limit(), 1U) : ramp.limit();
 }
 
 bool ReplicaSet::Replica::isSnapshotMissing(std::uint64_t snapshot, TimePoint now) const
@@ -283,6 +284,7 @@
         replica.scheduleProbe(latency, lowestLatency(), now);
         replica.recent.record(latency);
         replica.lastEnd = now;
+        replica.answered = true;
         replica.failuresInRow = 0;
         if (replica.cold.mayHaveRestarted(now))
             replica.cold.onRestartConfirmed(now + replica.traits.coldTime);
--- a/state/replica_set.h
+++ b/state/replica_set.h
@@ -174,6 +174,8 @@
         std::uint32_t failuresInRow = 0;
         /// Fraction of the recent attempts without a usable answer, 0 to 1.
         double failureRate = 0;
+        /// Whether it has answered an attempt. Until then it receives one at a time.
+        bool answered = false;
         /// Until this time it receives one attempt at a time, since it rejects new connections.
         TimePoint singleConnectionUntil{};
         /// Until this time the address is assumed to belong to another upstream.
--- a/tests/state/test_forwarding_schedule.cpp
+++ b/tests/state/test_forwarding_schedule.cpp
@@ -60,6 +60,14 @@
         apply(scheduler.onAttemptEnded(id, attempt.attempt, result, now));
     }
 
+    /// Has both upstreams answer once, after which they receive several attempts at a time.
+    void answerOnce()
+    {
+        for (const auto id : {arrive(), arrive()})
+            end(id, AttemptEnd::Answered);
+        starts.clear();
+    }
+
     void advance(milliseconds time)
     {
         now += time;
@@ -251,6 +259,7 @@
 TEST_CASE_FIXTURE(Fixture, "new work avoids a stalled upstream")
 {
     // An upstream pauses with work in flight. Guards against new work that queues behind it.
+    answerOnce();
     for (int i = 0; i < 30; ++i) {
         const auto id = arrive();
         now += milliseconds(10);
@@ -343,11 +352,24 @@
     CHECK(running.contains(arrive()));
 }
 
+TEST_CASE_FIXTURE(Fixture, "an upstream receives one attempt at a time until it has answered")
+{
+    // All hosts start again after a power cut. Guards against each of them opening all connections
+    // of its share at once, while upstreams still count those of the earlier processes.
+    for (int i = 0; i < 6; ++i)
+        arrive();
+    CHECK(starts["a"] == 1);
+    CHECK(starts["b"] == 1);
+    end(running.begin()->first, AttemptEnd::Answered);
+    CHECK(starts["a"] + starts["b"] == 5);
+}
+
 TEST_CASE_FIXTURE(Fixture, "an upstream that resets new connections receives one attempt at a time")
 {
     // After a power cut of all hosts, upstreams still count the connections of the earlier
     // processes. Guards against each host opening as many connections as before, most of which are
     // reset and cost a retry.
+    answerOnce();
     AttemptResult reset;
     reset.end = AttemptEnd::Lost;
     reset.newConnection = true;
