--- a/tests/forward/test_frontend_server.cpp
+++ b/tests/forward/test_frontend_server.cpp
@@ -99,8 +99,9 @@
 TEST_CASE("only a session that is being served has no time limit")
 {
     const state::CallerLimits limits{1024, 1024, milliseconds(300), milliseconds(5000)};
-    for (const auto &[phase, name] : forward::SessionPhaseNames) {
-        CAPTURE(name);
+    for (const auto &entry : forward::SessionPhaseNames) {
+        const auto phase = entry.value;
+        CAPTURE(entry.name);
         const auto limit = forward::sessionTimeLimit(phase, limits, true);
         const auto drainLimit = forward::sessionTimeLimit(phase, limits, false);
         CHECK(limit.has_value() == (phase != forward::SessionPhase::Serving));
--- a/tests/system/test_platform_hosts.cpp
+++ b/tests/system/test_platform_hosts.cpp
@@ -130,8 +130,9 @@
     // Requests fail if the host is down or closes the connection while they are on the way; none of
     // them may have been forwarded.
     const auto executionCounts = cluster.executionCounts();
-    for (const auto &[id, response] : responseOfFailed)
-        CHECK_MESSAGE(!executionCounts.contains(id), id << " received: " << response);
+    for (const auto &failed : responseOfFailed)
+        CHECK_MESSAGE(!executionCounts.contains(failed.first),
+                      failed.first << " received: " << failed.second);
 }
 
 // Guards against a host that keeps old limits because it received no signal after the file changed.
