--- a/entry/query_run.cpp
+++ b/entry/query_run.cpp
@@ -236,10 +236,10 @@
             sent->second.link->reportOverdue(sent->second.sentAt);
         if (!merge_->hasNextDispatcher(overdue.shard))
             continue;
-        const bool unanswered = sent == sentBatches_.end()
-                                || sent->second.link->shouldHedge(
-                                        sent->second.sentAt, overdue.dueAt, deadline_ - arrival_);
-        if (!unanswered || !mayHedge() || !context_->budgets.tryConsume(request_.profile)) {
+        const bool isSilent = sent == sentBatches_.end()
+                              || sent->second.link->shouldHedge(sent->second.sentAt, overdue.dueAt,
+                                                                deadline_ - arrival_);
+        if (!isSilent || !mayHedge() || !context_->budgets.tryConsume(request_.profile)) {
             merge_->postponeHedge(overdue.shard, now() + state::MinHedgeDelay);
             continue;
         }
--- a/forward/frontend_server.cpp
+++ b/forward/frontend_server.cpp
@@ -304,11 +304,11 @@
     beast::error_code ignored;
     acceptor_.close(ignored);
     listening_ = false;
-    closeExpired();
-    while (!sessions_.empty() && runtime_.clock().now() - start < maxTime) {
+    // A connection that was accepted in this turn becomes a session only after it.
+    do {
         co_await runtime_.clock().sleep(DrainPollInterval);
         closeExpired();
-    }
+    } while (!sessions_.empty() && runtime_.clock().now() - start < maxTime);
     if (!sessions_.empty()) {
         transport::logWarning(Part, "drain ended with open connections",
                               {{"connections", std::to_string(sessions_.size())},
--- a/transport/http_server.cpp
+++ b/transport/http_server.cpp
@@ -97,7 +97,7 @@
     asio::awaitable<bool> write(Session &session, HttpResponse response, unsigned version,
                                 bool keepAlive);
     asio::awaitable<bool> serveRequest(Session &session, const HttpHandler &connectionHandler);
-    void startSession(const std::shared_ptr<State> &self, tcp::socket socket);
+    static void startSession(const std::shared_ptr<State> &self, tcp::socket socket);
     static void stopListening(const std::shared_ptr<State> &self);
     static asio::awaitable<void> discardInput(Session &session);
     static asio::awaitable<void> serve(std::shared_ptr<State> self,
@@ -203,7 +203,7 @@
             co_await self->runtime.clock().sleep(DrainPollInterval);
             continue;
         }
-        self->startSession(self, std::move(socket));
+        startSession(self, std::move(socket));
     }
 }
 
@@ -213,8 +213,8 @@
     socket.set_option(tcp::no_delay(true), ignored);
     auto session = std::make_shared<Session>(std::move(socket));
     {
-        const std::lock_guard lock(mutex);
-        sessions.insert(session);
+        const std::lock_guard lock(self->mutex);
+        self->sessions.insert(session);
     }
     asio::co_spawn(session->stream.get_executor(), serve(self, session), asio::detached);
 }
@@ -228,7 +228,7 @@
         tcp::socket socket(self->runtime.makeStrand());
         self->acceptor.accept(socket, error);
         if (!error)
-            self->startSession(self, std::move(socket));
+            startSession(self, std::move(socket));
     }
     self->acceptor.close(error);
 }
