Log home regions and upstream regions of each request

The line of a completed request named the route and the version of the configuration, but neither the homes that this version gives the route nor the region to which the request was sent, so that an old configuration, a wrong upstream and a wrong choice by the directory looked the same. Change: "request completed" has home_regions and upstream_regions.

--- a/forward/request_forwarder.cpp
+++ b/forward/request_forwarder.cpp
@@ -39,6 +39,16 @@
     return std::to_string(std::chrono::round<std::chrono::milliseconds>(time).count());
 }
 
+/// @return the names separated by spaces.
+template <typename Names>
+std::string joinNames(const Names &names)
+{
+    std::string text;
+    for (const auto &name : names)
+        text.append(text.empty() ? "" : " ").append(name);
+    return text;
+}
+
 /// @return the first few shards without a result and their errors, for log messages.
 std::string describeMissingShards(const state::GatherRun &run,
                                   const std::vector<std::string> &shards)
@@ -73,7 +83,7 @@
 RequestForwarder::serve(std::shared_ptr<const ForwardRequest> request,
                         std::shared_ptr<CallerMonitor> monitor)
 {
-    RequestContext context{std::move(request), std::move(monitor), routes_, nullptr, {}};
+    RequestContext context{std::move(request), std::move(monitor), routes_};
     if (!context.routes)
         co_return refuse(context, "no_configuration", DefaultRetryAfter);
     context.route = context.routes->find(context.request->host, context.request->target);
@@ -98,8 +108,10 @@
     job.work.deadline = context.deadline;
     job.work.workClass = workClassOf(*context.route);
     job.work.upstreamLimit = context.route->upstreamLimit;
-    job.execute = [this, request = context.request, deadline = context.deadline,
+    job.execute = [this, request = context.request, trace = context.trace,
+                   deadline = context.deadline,
                    idempotent = context.route->idempotent](const state::StartAttempt &action) {
+        trace->regions.insert(options_.regionOf(action.upstream.failureDomain));
         return runAttempt(request, action, deadline, idempotent);
     };
     job.cancel = [this](const state::CancelAttempt &action) {
@@ -320,6 +332,7 @@
 {
     const auto time = runtime_.clock().now() - context.request->receivedAt;
     const std::string route = context.route == nullptr ? "none" : context.route->name;
+    const auto homes = context.route == nullptr ? "" : joinNames(context.route->homeRegions);
     metrics_.counter("persimmon_requests_total", "Caller requests by outcome.",
                      "outcome=\"" + outcome + "\"")
             .add();
@@ -330,6 +343,8 @@
             {"request", context.request->id},
             {"route", route},
             {"config", std::to_string(context.routes ? context.routes->config().version : 0)},
+            {"home_regions", homes},
+            {"upstream_regions", joinNames(context.trace->regions)},
             {"outcome", outcome},
             {"status", std::to_string(response.status)},
             {"ms", formatMilliseconds(time)}};
--- a/forward/request_forwarder.h
+++ b/forward/request_forwarder.h
@@ -3,7 +3,9 @@
 #include "forward/service_executors.h"
 
 #include <cstdint>
+#include <functional>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace persimmon::forward {
@@ -17,6 +19,9 @@
     double extraLoadTokens = 0.05;
     /// Time that is reserved for the transfer of a response to the caller.
     std::chrono::milliseconds returnLatency{26};
+    /// Returns the region of a failure domain, for log lines.
+    std::function<std::string(const std::string &failureDomain)> regionOf =
+            [](const std::string & /*failureDomain*/) { return std::string(); };
 };
 
 /// Serves the requests of callers: finds the route, forwards the request to one service or to all
@@ -48,6 +53,11 @@
                                                  std::shared_ptr<CallerMonitor> monitor);
 
 private:
+    /// Regions of the upstreams to which a request was sent.
+    struct AttemptTrace
+    {
+        std::set<std::string> regions;
+    };
     /// State of one request, including the version of the configuration that it started with.
     struct RequestContext
     {
@@ -55,8 +65,9 @@
         std::shared_ptr<CallerMonitor> monitor;
         std::shared_ptr<const state::RouteTable> routes;
         const state::Route *route = nullptr;
+        std::shared_ptr<AttemptTrace> trace = std::make_shared<AttemptTrace>();
         /// Time by which the caller must have the response.
-        transport::TimePoint deadline;
+        transport::TimePoint deadline{};
     };
     /// The sub-request of one shard and the executor that it was submitted to.
     struct ShardSubRequest
--- a/host/host_daemon.cpp
+++ b/host/host_daemon.cpp
@@ -58,6 +58,10 @@
     forward::ForwarderOptions result;
     result.names = hooks.headerNames;
     result.extraLoadTokens = options.retryRatio;
+    result.regionOf = [regions = options.regionByFailureDomain](const std::string &domain) {
+        const auto found = regions.find(domain);
+        return found == regions.end() ? std::string() : found->second;
+    };
     return result;
 }
 
