Find a served reader quickly when the store stops answering hosts

Cause: three hosts read the store for all. A store that is silent towards them was noticed after up to 5 s, their followers left them up to 3.5 s later, replacements were tried one after another with a first watch of 4 s, and a host that heard of a newer revision waited for its own next exchange with a host that has it. Hosts that the store serves held an old configuration for 8.3 to 8.9 s. Change: hosts pull records from the peer that shows a later revision and pass the news on; watches on the store last 1 s, the first one on a connection 1 ms; the loss of the store is announced at once and ends watches on that host; each host that is turned away adds two readers.

--- a/coordination/peer_exchange.cpp
+++ b/coordination/peer_exchange.cpp
@@ -26,6 +26,8 @@
 /// For this time after startup a host requests records only from hosts of its own region, since the
 /// complete set of records is large and transfer between regions is expensive.
 constexpr std::chrono::milliseconds LocalRecordsOnlyTime{1500};
+/// Time for which a record that a peer already holds may still arrive by the own watch.
+constexpr std::chrono::milliseconds PullDelay{300};
 
 } // namespace
 
@@ -114,6 +116,13 @@
     co_return valueOf(message).delta.value_or(state::RecordDelta{});
 }
 
+void PeerExchange::resetPeerWatch()
+{
+    if (watchConnection_)
+        watchConnection_->close();
+    watchConnection_.reset();
+}
+
 asio::awaitable<transport::HttpResponse> PeerExchange::handleWatch(transport::HttpRequest request)
 {
     const auto decoded = decodePeerMessage(request.body);
@@ -233,6 +242,30 @@
     if (message.delta)
         follower_.applyPeerDelta(*message.delta);
     follower_.observePeerRevision(message.revision);
+    const bool isBehind = message.revision > follower_.mirror().revision();
+    if (!isBehind || pulling_ || message.members.empty())
+        return;
+    pulling_ = true;
+    runtime_.spawn(pullRecords(message.members.front().control, message.revision));
+}
+
+asio::awaitable<void> PeerExchange::pullRecords(std::string peer, std::uint64_t revision)
+{
+    co_await runtime_.clock().sleep(PullDelay);
+    const bool hasArrived = follower_.mirror().revision() >= revision;
+    if (!hasArrived) {
+        transport::logInfo(Part, "pulling records that a peer already holds",
+                           {{"host", peer},
+                            {"revision", std::to_string(follower_.mirror().revision())},
+                            {"peer_revision", std::to_string(revision)}});
+        co_await exchangeWith(peer);
+    }
+    pulling_ = false;
+    if (hasArrived || follower_.mirror().revision() < revision)
+        co_return;
+    // The watch of this host is late, and so may be those of its neighbours.
+    for (const auto &neighbour : gossip_.selectLocalPeers())
+        runtime_.spawn(exchangeWith(neighbour));
 }
 
 } // namespace persimmon::coordination
--- a/coordination/peer_exchange.h
+++ b/coordination/peer_exchange.h
@@ -45,6 +45,9 @@
     boost::asio::awaitable<Result<state::RecordDelta, StoreFailure>>
     watchPeer(std::string peer, std::uint64_t after, std::chrono::milliseconds wait);
 
+    /// Ends a watchPeer() in progress.
+    void resetPeerWatch();
+
     /// Completes the pending watch requests of peers after the mirror of this host changed.
     void wakeWatchers();
 
@@ -65,6 +68,9 @@
     /// @return whether records may be requested from @p peer at this time.
     bool mayRequestRecords(const std::string &peer) const;
     void applyMessage(const PeerMessage &message);
+    /// Requests the records up to @p revision from @p peer unless they arrive otherwise first, and
+    /// passes them on.
+    boost::asio::awaitable<void> pullRecords(std::string peer, std::uint64_t revision);
     void recordFailure(const std::string &peer, PeerState &state, const std::string &reason);
 
     transport::Runtime &runtime_;
@@ -74,6 +80,8 @@
     transport::HttpServer server_;
     PeerGossip gossip_;
     transport::TimePoint startedAt_{};
+    /// Whether pullRecords() is in progress.
+    bool pulling_ = false;
     std::map<std::string, std::shared_ptr<PeerState>> peers_;
     std::set<std::shared_ptr<transport::AsyncAutoResetEvent>> watchers_;
     /// Connection to the peer whose mirror is watched, at control address watchedPeer_.
--- a/coordination/peer_gossip.cpp
+++ b/coordination/peer_gossip.cpp
@@ -57,6 +57,16 @@
     return peers;
 }
 
+std::vector<std::string> PeerGossip::selectLocalPeers()
+{
+    std::vector<std::string> local;
+    for (const auto &peer : membership_.livePeers()) {
+        if (membership_.isInOwnRegion(peer))
+            local.push_back(peer);
+    }
+    return sample(std::move(local), LocalPeersPerRound);
+}
+
 std::vector<std::string> PeerGossip::selectAnnouncePeers()
 {
     std::vector<std::string> local;
--- a/coordination/peer_gossip.h
+++ b/coordination/peer_gossip.h
@@ -34,6 +34,9 @@
     /// @return control addresses of the hosts to contact in this round.
     std::vector<std::string> selectPeers();
 
+    /// @return control addresses of random hosts of the own region.
+    std::vector<std::string> selectLocalPeers();
+
     /// @return control addresses of the hosts to notify immediately of a change of this host.
     ///         Gossip propagates the change to the others.
     std::vector<std::string> selectAnnouncePeers();
--- a/coordination/record_follower.cpp
+++ b/coordination/record_follower.cpp
@@ -11,9 +11,15 @@
 namespace {
 
 constexpr const char *Part = "store";
-/// Longest time for which a watch request is held. A dead connection is detected only after this
-/// time, which must leave enough time to apply a configuration change within its bound.
-constexpr std::chrono::milliseconds WatchTimeout{4000};
+/// Longest time for which a watch request is held. A store that stops answering is detected only
+/// after this time, which must leave enough time to read it elsewhere and to apply a configuration
+/// change within its bound.
+constexpr std::chrono::milliseconds WatchTimeout{1000};
+/// Longest time for which a watch request to a peer is held. A peer that stops answering is also
+/// detected by its heartbeats.
+constexpr std::chrono::milliseconds PeerWatchTimeout{4000};
+/// Time for which the first watch on a connection is held, to learn whether the store answers.
+constexpr std::chrono::milliseconds FirstWatchTimeout{1};
 constexpr std::chrono::milliseconds MinRetryDelay{100};
 constexpr std::chrono::milliseconds MaxRetryDelay{200};
 /// Maximum number of doublings of the delay after failed calls, which gives at most 1.6 s.
@@ -76,13 +82,24 @@
         peer_ = peer;
         disconnectStore();
     }
-    auto result = co_await peers_.watch(peer, mirror_.revision(), WatchTimeout);
-    if (!isOk(result))
-        co_return false;
+    auto result = co_await peers_.watch(peer, mirror_.revision(), PeerWatchTimeout);
+    if (!isOk(result)) {
+        // Another source is tried without a retry delay.
+        co_return peers_.source() != state::StoreSource{false, peer};
+    }
     applyPeerDelta(valueOf(result));
     co_return true;
 }
 
+void RecordFollower::checkSource()
+{
+    if (peer_.empty())
+        return;
+    const auto source = peers_.source();
+    if (source.readsStore || source.peer != peer_)
+        peers_.reset();
+}
+
 void RecordFollower::disconnectStore()
 {
     if (!connected_)
@@ -90,6 +107,7 @@
     connected_ = false;
     attempted_ = false;
     store_.reset();
+    peers_.onStoreReachabilityChange();
 }
 
 asio::awaitable<bool> RecordFollower::readSnapshot()
@@ -126,7 +144,8 @@
 
 asio::awaitable<bool> RecordFollower::watchOnce()
 {
-    auto result = co_await store_.watch(mirror_.revision(), WatchTimeout);
+    const auto wait = connected_ ? WatchTimeout : FirstWatchTimeout;
+    auto result = co_await store_.watch(mirror_.revision(), wait);
     if (!isOk(result)) {
         needsSnapshot_ = errorOf(result) == StoreFailure::HistoryGone;
         setConnected(false, errorOf(result));
@@ -149,6 +168,7 @@
         return;
     connected_ = connected;
     attempted_ = true;
+    peers_.onStoreReachabilityChange();
     if (connected)
         transport::logInfo(Part, "connected to store",
                            {{"revision", std::to_string(mirror_.revision())}});
--- a/coordination/record_follower.h
+++ b/coordination/record_follower.h
@@ -64,6 +64,10 @@
     std::function<boost::asio::awaitable<Result<state::RecordDelta, StoreFailure>>(
             std::string peer, std::uint64_t after, std::chrono::milliseconds wait)>
             watch;
+    /// Ends a watch in progress.
+    std::function<void()> reset;
+    /// Called when isStoreUnreachable() may have changed.
+    std::function<void()> onStoreReachabilityChange;
 };
 
 /// Keeps a RecordMirror up to date by a watch on the store or on the mirror of a peer, and with
@@ -79,6 +83,10 @@
 
     void start();
 
+    /// Ends the watch on a peer that is no longer the source of this host. Must be called after
+    /// changes of the membership.
+    void checkSource();
+
     /// Applies the records of a peer if they are newer than this mirror.
     void applyPeerDelta(const state::RecordDelta &delta);
 
--- a/host/host_daemon.cpp
+++ b/host/host_daemon.cpp
@@ -88,9 +88,14 @@
                  },
                  [this](std::string peer, std::uint64_t after, std::chrono::milliseconds wait) {
                      return exchange_.watchPeer(std::move(peer), after, wait);
-                 }},
+                 },
+                 [this] { exchange_.resetPeerWatch(); }, [this] { updateStoreReachability(); }},
                 [this](const auto &records) { onRecordsChanged(records); }),
-      exchange_(runtime, membership_, follower_, [this] { updateHostShare(); }),
+      exchange_(runtime, membership_, follower_,
+                [this] {
+                    updateHostShare();
+                    follower_.checkSource();
+                }),
       frontendServer_(runtime, hooks_.headerNames,
                       [this](auto request, auto monitor) {
                           return forwarder_.serve(std::move(request), std::move(monitor));
@@ -233,6 +238,12 @@
     services_.setShare(share);
 }
 
+void HostDaemon::updateStoreReachability()
+{
+    if (membership_.setStoreUnreachable(follower_.isStoreUnreachable()))
+        exchange_.announce();
+}
+
 void HostDaemon::updatePhase()
 {
     const bool canServe = forwarder_.routes() != nullptr && follower_.isLoaded();
@@ -271,7 +282,6 @@
         last = now;
         services_.reconfigure(registry_.expire(now));
         exchange_.expire();
-        membership_.setStoreUnreachable(follower_.isStoreUnreachable());
         if (++ticks % TicksPerLoadUpdate == 0)
             updateMembershipLoad();
     }
--- a/host/host_daemon.h
+++ b/host/host_daemon.h
@@ -41,6 +41,7 @@
     {
     }
     void updateHostShare();
+    void updateStoreReachability();
     void updatePhase();
     void updateMembershipLoad();
     boost::asio::awaitable<void> tick();
--- a/state/entry_membership.cpp
+++ b/state/entry_membership.cpp
@@ -33,6 +33,15 @@
     advanceHeartbeat();
 }
 
+bool EntryMembership::setStoreUnreachable(bool unreachable)
+{
+    if (self_.storeUnreachable == unreachable)
+        return false;
+    self_.storeUnreachable = unreachable;
+    advanceHeartbeat();
+    return true;
+}
+
 bool EntryMembership::merge(const std::vector<MemberState> &members, TimePoint now)
 {
     bool changed = false;
@@ -60,9 +69,9 @@
         return false;
     const bool changed = !peer.live || peer.state.phase != member.phase
                          || peer.state.incarnation != member.incarnation
-                         || peer.state.front != member.front;
-    const bool isRelayed = changed || peer.state.storeUnreachable != member.storeUnreachable;
-    peer = {member, now, isRelayed ? self_.heartbeat : peer.changedAtHeartbeat};
+                         || peer.state.front != member.front
+                         || peer.state.storeUnreachable != member.storeUnreachable;
+    peer = {member, now, changed ? self_.heartbeat : peer.changedAtHeartbeat};
     return changed;
 }
 
@@ -205,6 +214,7 @@
     // Hosts of each region that can relay records, sorted so that all hosts select the same ones.
     std::map<std::string, std::vector<std::string>> byRegion;
     std::string ownRegion;
+    std::size_t readerCount = StoreReaderCount;
     for (const auto &member : members) {
         if (member.control == self && member.storeUnreachable)
             return {true, {}};
@@ -212,13 +222,14 @@
             ownRegion = member.region;
         if (!member.storeUnreachable && member.phase != EntryPhase::Leaving)
             byRegion[member.region].push_back(member.control);
+        readerCount += member.storeUnreachable ? ReadersPerUnreachable : 0;
     }
     std::vector<std::string> readers;
-    for (std::size_t rank = 0; readers.size() < StoreReaderCount && rank < members.size(); ++rank) {
+    for (std::size_t rank = 0; readers.size() < readerCount && rank < members.size(); ++rank) {
         for (auto &[region, hosts] : byRegion) {
             if (rank == 0)
                 std::sort(hosts.begin(), hosts.end());
-            if (rank < hosts.size() && readers.size() < StoreReaderCount)
+            if (rank < hosts.size() && readers.size() < readerCount)
                 readers.push_back(hosts[rank]);
         }
     }
--- a/state/entry_membership.h
+++ b/state/entry_membership.h
@@ -82,11 +82,15 @@
     /// Increments the heartbeat of this host.
     void advanceHeartbeat() { ++self_.heartbeat; }
     void setPhase(EntryPhase phase);
-    void setStoreUnreachable(bool unreachable) { self_.storeUnreachable = unreachable; }
+
+    /// @return whether the state changed.
+    bool setStoreUnreachable(bool unreachable);
     void setLoad(std::uint32_t load) { self_.load = load; }
 
     /// Merges the member states that a peer has sent.
-    /// @return whether a host appeared, changed its phase or address, or restarted.
+    /// @return whether a host appeared, changed its phase or address, lost or regained the store,
+    /// or
+    ///         restarted.
     bool merge(const std::vector<MemberState> &members, TimePoint now);
 
     /// Merges heartbeats from a peer that holds the same member states.
@@ -167,8 +171,9 @@
 
 /// Selects the host's source of store records, so that the number of calls to the store does not
 /// grow with the number of hosts. StoreReaderCount hosts read the store, one in each region if
-/// possible. The others follow the copy of a host in their region; each host has at most
-/// MaxStoreFollowers followers.
+/// possible, and ReadersPerUnreachable more for each host that cannot reach it, so that a host that
+/// can is soon found among many that cannot. The others follow the copy of a host in their region;
+/// each host has at most MaxStoreFollowers followers.
 /// @param members live hosts.
 /// @param self control address of this host.
 /// @return the source. A host that cannot reach the store keeps trying while another host reads in
@@ -177,6 +182,8 @@
 
 /// Number of hosts that read the store. With three, two may fail or be partitioned at a time.
 inline constexpr std::size_t StoreReaderCount = 3;
+/// Number of further readers for each host that cannot reach the store.
+inline constexpr std::size_t ReadersPerUnreachable = 2;
 /// Maximum number of hosts that follow one copy. A region of 1,000 hosts is then four levels deep.
 inline constexpr std::size_t MaxStoreFollowers = 8;
 
