Order the records of a restored store by era

Callers saw: after the store came back from an older copy, no confirmed change came into force any more: requests were handled by the version before, added routes got 404, requests of routes with homes ran in old regions. Cause: the mirror ordered reads, changes, peers' records and tombstones by revision alone, and a restored store gives revisions out again. Hosts at revision 64 dropped every read at 63, watched from 64, got 410, and so on. Ruled out: the store is not read (four reads a second), the operator writes late (its version was back 0.4 s after the store). Change: positions are an era and a revision, also between hosts; the era is the store's header field or comes from peers. In a new era a host keeps what the store lacks and does not take what may be older than what it knows, by the versions that the writers put into values, until the entries of live writers are back and those of dead ones have expired; then it adopts the state of the store.

--- a/coordination/peer_exchange.cpp
+++ b/coordination/peer_exchange.cpp
@@ -29,6 +29,15 @@
 /// Time for which a record that a peer already holds may still arrive by the own watch.
 constexpr std::chrono::milliseconds PullDelay{300};
 
+/// @return the records of a reply, empty if there are none, or StoreFailure::Malformed.
+Result<state::RecordDelta, StoreFailure> decodeDelta(const std::string &body)
+{
+    auto message = decodePeerMessage(body);
+    if (!isOk(message))
+        return StoreFailure::Malformed;
+    return valueOf(message).delta.value_or(state::RecordDelta{});
+}
+
 } // namespace
 
 PeerExchange::PeerExchange(transport::Runtime &runtime, state::EntryMembership &membership,
@@ -87,7 +96,8 @@
 }
 
 asio::awaitable<Result<state::RecordDelta, StoreFailure>>
-PeerExchange::watchPeer(std::string peer, std::uint64_t after, std::chrono::milliseconds wait)
+PeerExchange::watchPeer(std::string peer, state::StorePosition after,
+                        std::chrono::milliseconds wait)
 {
     auto connection = watchConnection_;
     if (!connection || peer != watchedPeer_ || !connection->isOpen()
@@ -105,15 +115,12 @@
         watchedPeer_ = peer;
     }
     PeerMessage query;
-    query.revision = after;
+    query.position = after;
     transport::HttpRequest request("POST", WatchTarget, encodePeerMessage(query));
     const auto response = co_await connection->send(std::move(request), wait + ExchangeTimeout);
     if (!isOk(response))
         co_return StoreFailure::Unavailable;
-    const auto message = decodePeerMessage(valueOf(response).body);
-    if (!isOk(message))
-        co_return StoreFailure::Malformed;
-    co_return valueOf(message).delta.value_or(state::RecordDelta{});
+    co_return decodeDelta(valueOf(response).body);
 }
 
 void PeerExchange::resetPeerWatch()
@@ -128,17 +135,17 @@
     const auto decoded = decodePeerMessage(request.body);
     if (!isOk(decoded))
         co_return transport::HttpResponse(400, "{}");
-    const auto after = valueOf(decoded).revision;
+    const auto after = valueOf(decoded).position;
     const auto until = runtime_.clock().now() + PeerWatchTimeout;
     const auto watcher =
             std::make_shared<transport::AsyncAutoResetEvent>(co_await asio::this_coro::executor);
     watchers_.insert(watcher);
-    while (follower_.mirror().revision() <= after && runtime_.clock().now() < until)
+    while (follower_.mirror().position() <= after && runtime_.clock().now() < until)
         co_await watcher->waitUntil(until);
     watchers_.erase(watcher);
     PeerMessage reply;
-    reply.revision = follower_.mirror().revision();
-    if (reply.revision > after)
+    addMirrorState(reply);
+    if (reply.position > after)
         reply.delta = follower_.mirror().deltaSince(after);
     co_return transport::HttpResponse(200, encodePeerMessage(reply));
 }
@@ -181,7 +188,7 @@
         }
     }
     auto query = gossip_.makeRequest(peer);
-    query.revision = follower_.mirror().revision();
+    addMirrorState(query);
     query.wantsRecords = follower_.needsPeerRecords() && mayRequestRecords(peer);
     transport::HttpRequest request("POST", ExchangeTarget, encodePeerMessage(query));
     const auto response = co_await state->connection->send(std::move(request), ExchangeTimeout);
@@ -226,9 +233,9 @@
     const auto &message = valueOf(decoded);
     applyMessage(message);
     auto reply = gossip_.makeReply(message);
-    reply.revision = follower_.mirror().revision();
-    if (message.wantsRecords && reply.revision > message.revision)
-        reply.delta = follower_.mirror().deltaSince(message.revision);
+    addMirrorState(reply);
+    if (message.wantsRecords && reply.position > message.position)
+        reply.delta = follower_.mirror().deltaSince(message.position);
     co_return transport::HttpResponse(200, encodePeerMessage(reply));
 }
 
@@ -241,31 +248,40 @@
     }
     if (message.delta)
         follower_.applyPeerDelta(*message.delta);
-    follower_.observePeerRevision(message.revision);
-    const bool isBehind = message.revision > follower_.mirror().revision();
+    follower_.observePeerPosition(message.position, message.isReconciled);
+    const bool isBehind = message.position > follower_.mirror().position();
     if (!isBehind || pulling_ || message.members.empty())
         return;
     pulling_ = true;
-    runtime_.spawn(pullRecords(message.members.front().control, message.revision));
+    runtime_.spawn(pullRecords(message.members.front().control, message.position));
 }
 
-asio::awaitable<void> PeerExchange::pullRecords(std::string peer, std::uint64_t revision)
+asio::awaitable<void> PeerExchange::pullRecords(std::string peer, state::StorePosition position)
 {
     co_await runtime_.clock().sleep(PullDelay);
-    const bool hasArrived = follower_.mirror().revision() >= revision;
+    const auto &own = follower_.mirror().position();
+    const bool hasArrived = own >= position;
     if (!hasArrived) {
         transport::logInfo(Part, "pulling records that a peer already holds",
                            {{"host", peer},
-                            {"revision", std::to_string(follower_.mirror().revision())},
-                            {"peer_revision", std::to_string(revision)}});
+                            {"era", std::to_string(own.era)},
+                            {"revision", std::to_string(own.revision)},
+                            {"peer_era", std::to_string(position.era)},
+                            {"peer_revision", std::to_string(position.revision)}});
         co_await exchangeWith(peer);
     }
     pulling_ = false;
-    if (hasArrived || follower_.mirror().revision() < revision)
+    if (hasArrived || own < position)
         co_return;
     // The watch of this host is late, and so may be those of its neighbours.
     for (const auto &neighbour : gossip_.selectLocalPeers())
         runtime_.spawn(exchangeWith(neighbour));
 }
 
+void PeerExchange::addMirrorState(PeerMessage &message) const
+{
+    message.position = follower_.mirror().position();
+    message.isReconciled = follower_.mirror().isReconciled();
+}
+
 } // namespace persimmon::coordination
--- a/coordination/peer_exchange.h
+++ b/coordination/peer_exchange.h
@@ -39,11 +39,11 @@
     /// Sends a change of this host, such as its shutdown, to some peers immediately.
     void announce();
 
-    /// Long-polls @p peer for records after revision @p after.
+    /// Long-polls @p peer for records after position @p after of the store.
     /// @param wait time to wait for the reply, to which the exchange timeout is added.
     /// @return the changes, empty if there are none, or the error.
     boost::asio::awaitable<Result<state::RecordDelta, StoreFailure>>
-    watchPeer(std::string peer, std::uint64_t after, std::chrono::milliseconds wait);
+    watchPeer(std::string peer, state::StorePosition after, std::chrono::milliseconds wait);
 
     /// Ends a watchPeer() in progress.
     void resetPeerWatch();
@@ -68,9 +68,10 @@
     /// @return whether records may be requested from @p peer at this time.
     bool mayRequestRecords(const std::string &peer) const;
     void applyMessage(const PeerMessage &message);
-    /// Requests the records up to @p revision from @p peer unless they arrive otherwise first, and
+    /// Requests the records up to @p position from @p peer unless they arrive otherwise first, and
     /// passes them on.
-    boost::asio::awaitable<void> pullRecords(std::string peer, std::uint64_t revision);
+    boost::asio::awaitable<void> pullRecords(std::string peer, state::StorePosition position);
+    void addMirrorState(PeerMessage &message) const;
     void recordFailure(const std::string &peer, PeerState &state, const std::string &reason);
 
     transport::Runtime &runtime_;
--- a/coordination/peer_message.cpp
+++ b/coordination/peer_message.cpp
@@ -21,8 +21,19 @@
     Capacity,
     Load,
 };
-/// Array positions of the columns of a store record. The value is absent for a deleted key.
-enum RecordColumn { Key, Revision, Value };
+/// Array positions of the columns of a store record. The value is null for a deleted key. The
+/// columns from Era are left out if the era is that of the message and no deleted write is known,
+/// those of the version if the deleted write has none.
+enum RecordColumn {
+    Key,
+    Revision,
+    Value,
+    Era,
+    DeletedRevision,
+    DeletedHash,
+    DeletedWriterStart,
+    DeletedSequence,
+};
 
 state::MemberState readMember(const json::array &columns)
 {
@@ -54,16 +65,51 @@
     return heartbeats;
 }
 
-state::StoreRecord readRecord(const json::array &columns)
+state::DeletedWrite readDeletedWrite(const json::array &columns)
+{
+    state::DeletedWrite write;
+    write.revision = columns.at(DeletedRevision).to_number<std::uint64_t>();
+    write.valueHash = columns.at(DeletedHash).to_number<std::uint64_t>();
+    if (columns.size() > DeletedWriterStart)
+        write.version = {columns.at(DeletedWriterStart).to_number<std::uint64_t>(),
+                         columns.at(DeletedSequence).to_number<std::uint64_t>()};
+    return write;
+}
+
+state::StoreRecord readRecord(const json::array &columns, std::uint64_t era)
 {
     state::StoreRecord record;
     record.key = json::value_to<std::string>(columns.at(Key));
     record.revision = columns.at(Revision).to_number<std::uint64_t>();
-    if (columns.size() > Value)
+    if (columns.size() > Value && !columns.at(Value).is_null())
         record.value = json::value_to<std::string>(columns.at(Value));
+    record.era = columns.size() > Era ? columns.at(Era).to_number<std::uint64_t>() : era;
+    if (columns.size() > DeletedRevision)
+        record.deletedWrite = readDeletedWrite(columns);
     return record;
 }
 
+json::array writeRecord(const state::StoreRecord &record, std::uint64_t era)
+{
+    json::array columns{record.key, record.revision};
+    const bool hasEra = record.era != era || record.deletedWrite;
+    if (record.value)
+        columns.emplace_back(*record.value);
+    else if (hasEra)
+        columns.emplace_back(nullptr);
+    if (hasEra)
+        columns.emplace_back(record.era);
+    if (!record.deletedWrite)
+        return columns;
+    columns.emplace_back(record.deletedWrite->revision);
+    columns.emplace_back(record.deletedWrite->valueHash);
+    if (const auto &version = record.deletedWrite->version) {
+        columns.emplace_back(version->writerStart);
+        columns.emplace_back(version->sequence);
+    }
+    return columns;
+}
+
 } // namespace
 
 std::string encodePeerMessage(const PeerMessage &message)
@@ -82,7 +128,10 @@
     json::object object{{"rows", std::move(members)},
                         {"beats", std::move(heartbeats)},
                         {"digest", message.digest},
-                        {"revision", message.revision}};
+                        {"era", message.position.era},
+                        {"revision", message.position.revision}};
+    if (message.isReconciled)
+        object["reconciled"] = true;
     if (message.wantsMembers)
         object["wants_rows"] = true;
     if (message.wantsRecords)
@@ -90,12 +139,8 @@
     if (message.delta) {
         object["snapshot"] = message.delta->isSnapshot;
         json::array records;
-        for (const auto &record : message.delta->records) {
-            json::array columns{record.key, record.revision};
-            if (record.value)
-                columns.emplace_back(*record.value);
-            records.emplace_back(std::move(columns));
-        }
+        for (const auto &record : message.delta->records)
+            records.emplace_back(writeRecord(record, message.position.era));
         object["records"] = std::move(records);
     }
     return json::serialize(object);
@@ -107,7 +152,9 @@
     try {
         const auto parsed = json::parse(text);
         const auto &object = parsed.as_object();
-        message.revision = object.at("revision").to_number<std::uint64_t>();
+        message.position.era = object.at("era").to_number<std::uint64_t>();
+        message.position.revision = object.at("revision").to_number<std::uint64_t>();
+        message.isReconciled = object.contains("reconciled");
         message.wantsMembers = object.contains("wants_rows");
         message.wantsRecords = object.contains("wants_records");
         message.digest = object.at("digest").to_number<std::uint64_t>();
@@ -116,10 +163,11 @@
             message.members.push_back(readMember(member.as_array()));
         if (const auto *records = object.if_contains("records")) {
             auto &delta = message.delta.emplace();
-            delta.asOf = message.revision;
+            delta.asOf = message.position;
+            delta.isReconciled = message.isReconciled;
             delta.isSnapshot = object.at("snapshot").as_bool();
             for (const auto &record : records->as_array())
-                delta.records.push_back(readRecord(record.as_array()));
+                delta.records.push_back(readRecord(record.as_array(), message.position.era));
         }
     } catch (const std::exception &exception) {
         return CoordinationError{CoordinationErrorCode::InvalidAnswer, exception.what()};
--- a/coordination/peer_message.h
+++ b/coordination/peer_message.h
@@ -19,13 +19,15 @@
     std::vector<state::MemberHeartbeat> heartbeats;
     /// EntryMembership::digest() of the sender.
     std::uint64_t digest = 0;
-    /// Store revision of the sender's record mirror.
-    std::uint64_t revision = 0;
+    /// Position in the store of the sender's record mirror.
+    state::StorePosition position;
+    /// Whether the sender's record mirror is reconciled with the era of the store.
+    bool isReconciled = false;
     /// Whether the sender requests the states of all members.
     bool wantsMembers = false;
-    /// Whether the sender requests the records after its revision.
+    /// Whether the sender requests the records after its position.
     bool wantsRecords = false;
-    /// Records that the requester lacks; on the wire, their revision is that of the message.
+    /// Records that the requester lacks; on the wire, their position is that of the message.
     std::optional<state::RecordDelta> delta;
 
     bool operator==(const PeerMessage &) const = default;
--- a/coordination/record_follower.cpp
+++ b/coordination/record_follower.cpp
@@ -33,15 +33,21 @@
 /// Expected upper bound of the time between the first report of a revision by a peer and its
 /// arrival by the own watch.
 constexpr std::chrono::milliseconds MaxWatchLag{700};
+/// A mirror that was not updated for this time is not up to date.
+constexpr std::chrono::milliseconds MaxUpdateAge = PeerWatchTimeout;
+/// Interval at which a due reconciliation waits for a current mirror.
+constexpr std::chrono::milliseconds ReconcileRetryInterval{250};
 
 } // namespace
 
 RecordFollower::RecordFollower(transport::Runtime &runtime, StoreHooks store, PeerHooks peers,
-                               OnChange onChange)
+                               RecordFollowerOptions options, OnChange onChange)
     : runtime_(runtime),
       store_(std::move(store)),
       peers_(std::move(peers)),
-      onChange_(std::move(onChange))
+      options_(std::move(options)),
+      onChange_(std::move(onChange)),
+      mirror_(options_.contentVersionOf)
 {
 }
 
@@ -77,16 +83,16 @@
 asio::awaitable<bool> RecordFollower::followPeer(std::string peer)
 {
     if (peer != peer_) {
-        transport::logInfo(Part, "following the record mirror of a peer",
-                           {{"host", peer}, {"revision", std::to_string(mirror_.revision())}});
+        log(transport::LogLevel::Info, "following the record mirror of a peer", {{"host", peer}});
         peer_ = peer;
         disconnectStore();
     }
-    auto result = co_await peers_.watch(peer, mirror_.revision(), PeerWatchTimeout);
+    auto result = co_await peers_.watch(peer, mirror_.position(), PeerWatchTimeout);
     if (!isOk(result)) {
         // Another source is tried without a retry delay.
         co_return peers_.source() != state::StoreSource{false, peer};
     }
+    lastUpdateAt_ = runtime_.clock().now();
     applyPeerDelta(valueOf(result));
     co_return true;
 }
@@ -113,7 +119,7 @@
 asio::awaitable<bool> RecordFollower::readSnapshot()
 {
     std::vector<state::StoreRecord> items;
-    std::uint64_t asOf = 0;
+    state::StorePosition asOf;
     std::string after;
     bool more = true;
     while (more) {
@@ -123,21 +129,33 @@
             co_return false;
         }
         auto page = takeValue(result);
-        // Later pages may be newer, so the result is complete only up to the first page's revision.
+        // Later pages may be newer, so the result is complete only up to the first page's position.
         if (after.empty())
             asOf = page.asOf;
+        if (page.asOf.era != asOf.era) {
+            transport::logWarning(Part, "store was restored during a read; reading again");
+            co_return true;
+        }
         more = page.hasMore && !page.items.empty();
         if (!page.items.empty())
             after = page.items.back().key;
         items.insert(items.end(), page.items.begin(), page.items.end());
     }
+    if (asOf < mirror_.position()) {
+        log(transport::LogLevel::Warning, "store is older than the mirror; reading again",
+            {{"store_era", std::to_string(asOf.era)},
+             {"store_revision", std::to_string(asOf.revision)}});
+        setConnected(false, StoreFailure::Unavailable);
+        store_.reset();
+        co_return false;
+    }
     needsSnapshot_ = false;
-    setConnected(true, StoreFailure::Unavailable);
     const auto changes = mirror_.applySnapshot(items, asOf);
-    transport::logInfo(Part, "loaded store snapshot",
-                       {{"revision", std::to_string(asOf)},
-                        {"records", std::to_string(items.size())},
-                        {"news", std::to_string(changes.size())}});
+    setConnected(true, StoreFailure::Unavailable);
+    lastUpdateAt_ = runtime_.clock().now();
+    log(transport::LogLevel::Info, "loaded store snapshot",
+        {{"records", std::to_string(items.size())}, {"news", std::to_string(changes.size())}});
+    onMirrorUpdated();
     onChange_(changes);
     co_return true;
 }
@@ -145,7 +163,7 @@
 asio::awaitable<bool> RecordFollower::watchOnce()
 {
     const auto wait = connected_ ? WatchTimeout : FirstWatchTimeout;
-    auto result = co_await store_.watch(mirror_.revision(), wait);
+    auto result = co_await store_.watch(mirror_.position().revision, wait);
     if (!isOk(result)) {
         needsSnapshot_ = errorOf(result) == StoreFailure::HistoryGone;
         setConnected(false, errorOf(result));
@@ -154,13 +172,58 @@
     }
     setConnected(true, StoreFailure::Unavailable);
     const auto &update = valueOf(result);
+    if (update.asOf.era != mirror_.position().era) {
+        // The changes follow a history that this mirror does not hold.
+        needsSnapshot_ = true;
+        log(transport::LogLevel::Warning, "store was restored from an older copy",
+            {{"store_era", std::to_string(update.asOf.era)}});
+        co_return true;
+    }
+    lastUpdateAt_ = runtime_.clock().now();
     const auto changes = mirror_.apply(update.records, update.asOf);
-    behind_ = behind_ && mirror_.revision() < peerRevision_;
+    onMirrorUpdated();
     if (!changes.empty())
         onChange_(changes);
     co_return true;
 }
 
+void RecordFollower::onMirrorUpdated()
+{
+    const auto &position = mirror_.position();
+    behind_ = behind_ && position < peerPosition_;
+    if (position.era == era_)
+        return;
+    const bool isFirst = era_ == 0;
+    era_ = position.era;
+    if (mirror_.isReconciled())
+        return;
+    if (!isFirst)
+        log(transport::LogLevel::Warning, "store has a new era; keeping what it lacks for now");
+    runtime_.spawn(reconcileAfterRestore(era_));
+}
+
+asio::awaitable<void> RecordFollower::reconcileAfterRestore(std::uint64_t era)
+{
+    co_await runtime_.clock().sleep(options_.reconcileTime);
+    while (era == era_ && !mirror_.isReconciled()) {
+        // A mirror that is not up to date may lack what was written again.
+        if (runtime_.clock().now() - lastUpdateAt_ <= MaxUpdateAge) {
+            reconcile();
+            co_return;
+        }
+        co_await runtime_.clock().sleep(ReconcileRetryInterval);
+    }
+}
+
+void RecordFollower::reconcile()
+{
+    const auto changes = mirror_.reconcile();
+    log(transport::LogLevel::Info, "reconciled with the store",
+        {{"news", std::to_string(changes.size())}});
+    if (!changes.empty())
+        onChange_(changes);
+}
+
 void RecordFollower::setConnected(bool connected, StoreFailure reason)
 {
     peer_.clear();
@@ -170,45 +233,57 @@
     attempted_ = true;
     peers_.onStoreReachabilityChange();
     if (connected)
-        transport::logInfo(Part, "connected to store",
-                           {{"revision", std::to_string(mirror_.revision())}});
+        log(transport::LogLevel::Info, "connected to store");
     else
-        transport::logWarning(Part, "store is unreachable",
-                              {{"reason", std::string(enumName(StoreFailureNames, reason))},
-                               {"revision", std::to_string(mirror_.revision())}});
+        log(transport::LogLevel::Warning, "store is unreachable",
+            {{"reason", std::string(enumName(StoreFailureNames, reason))}});
+}
+
+void RecordFollower::log(transport::LogLevel level, std::string_view message,
+                         std::initializer_list<transport::LogField> fields) const
+{
+    std::vector<transport::LogField> all{{"era", std::to_string(mirror_.position().era)},
+                                         {"revision", std::to_string(mirror_.position().revision)}};
+    all.insert(all.end(), fields.begin(), fields.end());
+    transport::log(level, Part, message, all);
 }
 
 void RecordFollower::applyPeerDelta(const state::RecordDelta &delta)
 {
-    if (delta.asOf <= mirror_.revision())
+    if (delta.asOf <= mirror_.position())
         return;
     const auto changes = mirror_.apply(delta);
-    // The watch can continue from this revision, so no complete read is needed.
+    // The watch can continue from this position, so no complete read is needed.
     needsSnapshot_ = false;
-    behind_ = behind_ && mirror_.revision() < peerRevision_;
-    transport::logInfo(
-            Part, "applied records from a peer",
-            {{"revision", std::to_string(delta.asOf)}, {"news", std::to_string(changes.size())}});
+    log(transport::LogLevel::Info, "applied records from a peer",
+        {{"news", std::to_string(changes.size())}});
+    onMirrorUpdated();
     if (!changes.empty())
         onChange_(changes);
 }
 
-void RecordFollower::observePeerRevision(std::uint64_t revision)
+void RecordFollower::observePeerPosition(const state::StorePosition &position, bool isReconciled)
 {
-    peerRevision_ = std::max(peerRevision_, revision);
-    if (revision <= mirror_.revision())
+    peerPosition_ = std::max(peerPosition_, position);
+    const auto &own = mirror_.position();
+    if (position <= own) {
+        if (isReconciled && position.era == own.era && !mirror_.isReconciled())
+            reconcile();
         return;
+    }
     const auto now = runtime_.clock().now();
+    const bool isNewEra = position.era > own.era;
     if (!behind_) {
         behind_ = true;
         behindSince_ = now;
+        if (!isNewEra)
+            return;
+    } else if (now - behindSince_ < MaxWatchLag) {
         return;
     }
-    if (now - behindSince_ < MaxWatchLag)
-        return;
-    transport::logWarning(Part, "store watch lags behind a peer; restarting it",
-                          {{"revision", std::to_string(mirror_.revision())},
-                           {"peer_revision", std::to_string(revision)}});
+    log(transport::LogLevel::Warning, "store watch lags behind a peer; restarting it",
+        {{"peer_era", std::to_string(position.era)},
+         {"peer_revision", std::to_string(position.revision)}});
     behindSince_ = now;
     if (connected_)
         store_.reset();
--- a/coordination/record_follower.h
+++ b/coordination/record_follower.h
@@ -26,19 +26,19 @@
         {StoreFailure::Malformed, "malformed"},
 }};
 
-/// One page of a range read. @c asOf is the store revision of the read.
+/// One page of a range read. @c asOf is the position of the store at the read.
 struct StorePage
 {
     std::vector<state::StoreRecord> items;
     bool hasMore = false;
-    std::uint64_t asOf = 0;
+    state::StorePosition asOf;
 };
 
-/// Changes delivered by a watch, up to store revision @c asOf.
+/// Changes delivered by a watch, up to position @c asOf of the store.
 struct StoreChanges
 {
     std::vector<state::StoreRecord> records;
-    std::uint64_t asOf = 0;
+    state::StorePosition asOf;
 };
 
 /// Operations on the platform's store.
@@ -60,9 +60,9 @@
 {
     /// Returns the source from which this host reads records: the store or a peer.
     std::function<state::StoreSource()> source;
-    /// Waits up to @c wait for changes of a peer's mirror after a revision.
+    /// Waits up to @c wait for changes of a peer's mirror after a position of the store.
     std::function<boost::asio::awaitable<Result<state::RecordDelta, StoreFailure>>(
-            std::string peer, std::uint64_t after, std::chrono::milliseconds wait)>
+            std::string peer, state::StorePosition after, std::chrono::milliseconds wait)>
             watch;
     /// Ends a watch in progress.
     std::function<void()> reset;
@@ -70,6 +70,18 @@
     std::function<void()> onStoreReachabilityChange;
 };
 
+/// Settings of RecordFollower.
+struct RecordFollowerOptions
+{
+    /// Time after the first read of a new era of the store in which the operator and the live
+    /// upstreams write again what a restore has lost, and the registrations of dead ones expire.
+    std::chrono::milliseconds reconcileTime{4500};
+    /// Orders values across eras of the store; see state::RecordMirror.
+    state::ContentVersionOf contentVersionOf = [](const state::StoreRecord & /*record*/) {
+        return std::optional<state::ContentVersion>();
+    };
+};
+
 /// Keeps a RecordMirror up to date by a watch on the store or on the mirror of a peer, and with
 /// records received from peers while the store is unreachable. For single-threaded runtimes only.
 class RecordFollower
@@ -79,7 +91,7 @@
     using OnChange = std::function<void(const std::vector<state::StoreRecord> &)>;
 
     RecordFollower(transport::Runtime &runtime, StoreHooks store, PeerHooks peers,
-                   OnChange onChange);
+                   RecordFollowerOptions options, OnChange onChange);
 
     void start();
 
@@ -90,9 +102,10 @@
     /// Applies the records of a peer if they are newer than this mirror.
     void applyPeerDelta(const state::RecordDelta &delta);
 
-    /// Records the revision of a peer. The watch is restarted if it does not reach that revision in
-    /// time.
-    void observePeerRevision(std::uint64_t revision);
+    /// Records the position of a peer's mirror. The watch is restarted if it does not reach that
+    /// position in time, or at once if the peer knows of a later era of the store.
+    /// @param isReconciled whether the peer's mirror is reconciled with its era.
+    void observePeerPosition(const state::StorePosition &position, bool isReconciled);
 
     /// @return whether this host should request records from peers.
     bool needsPeerRecords() const { return isStoreUnreachable() || behind_ || !isLoaded(); }
@@ -101,7 +114,7 @@
     bool isStoreUnreachable() const { return attempted_ && !connected_; }
 
     /// @return whether the mirror holds records, from a complete read or from a peer.
-    bool isLoaded() const { return mirror_.revision() > 0; }
+    bool isLoaded() const { return mirror_.position().revision > 0; }
 
     const state::RecordMirror &mirror() const { return mirror_; }
 
@@ -110,24 +123,35 @@
     boost::asio::awaitable<bool> readSnapshot();
     boost::asio::awaitable<bool> watchOnce();
     boost::asio::awaitable<bool> followPeer(std::string peer);
+    boost::asio::awaitable<void> reconcileAfterRestore(std::uint64_t era);
+    void reconcile();
+    /// Logs a new era of the store and schedules the reconciliation.
+    void onMirrorUpdated();
     void setConnected(bool connected, StoreFailure reason);
     void disconnectStore();
+    /// Logs a message with the position of the mirror.
+    void log(transport::LogLevel level, std::string_view message,
+             std::initializer_list<transport::LogField> fields = {}) const;
 
     transport::Runtime &runtime_;
     const StoreHooks store_;
     const PeerHooks peers_;
+    const RecordFollowerOptions options_;
     const OnChange onChange_;
     state::RecordMirror mirror_;
+    /// Last era of the mirror that onMirrorUpdated() has handled.
+    std::uint64_t era_ = 0;
+    transport::TimePoint lastUpdateAt_{};
     bool connected_ = false;
     /// Peer whose mirror is watched; empty while the store is read.
     std::string peer_;
     /// Whether a call to the store has completed since startup or since the last disconnectStore().
     bool attempted_ = false;
     bool needsSnapshot_ = true;
-    /// Whether a peer has reported a later revision, and since when.
+    /// Whether a peer has reported a later position, and since when.
     bool behind_ = false;
     transport::TimePoint behindSince_{};
-    std::uint64_t peerRevision_ = 0;
+    state::StorePosition peerPosition_;
 };
 
 } // namespace persimmon::coordination
--- a/host/host_daemon.cpp
+++ b/host/host_daemon.cpp
@@ -86,10 +86,12 @@
                      return state::selectStoreSource(membership_.liveMembers(),
                                                      options_.controlAddress);
                  },
-                 [this](std::string peer, std::uint64_t after, std::chrono::milliseconds wait) {
+                 [this](std::string peer, state::StorePosition after,
+                        std::chrono::milliseconds wait) {
                      return exchange_.watchPeer(std::move(peer), after, wait);
                  },
                  [this] { exchange_.resetPeerWatch(); }, [this] { updateStoreReachability(); }},
+                {options_.reconcileTime, hooks_.contentVersionOf},
                 [this](const auto &records) { onRecordsChanged(records); }),
       exchange_(runtime, membership_, follower_,
                 [this] {
@@ -187,7 +189,8 @@
     transport::logInfo(Part, "configuration applied",
                        {{"version", std::to_string(config.version)},
                         {"routes", std::to_string(config.routes.size())},
-                        {"revision", std::to_string(follower_.mirror().revision())}});
+                        {"era", std::to_string(follower_.mirror().position().era)},
+                        {"revision", std::to_string(follower_.mirror().position().revision)}});
 }
 
 void HostDaemon::applyRecord(const state::UpstreamRecord &record,
@@ -199,7 +202,8 @@
                         {"service", record.service},
                         {"state", record.draining ? "draining" : "ready"},
                         {"cold_ms", std::to_string(record.coldTimeLeft.count())},
-                        {"revision", std::to_string(follower_.mirror().revision())}});
+                        {"era", std::to_string(follower_.mirror().position().era)},
+                        {"revision", std::to_string(follower_.mirror().position().revision)}});
 }
 
 void HostDaemon::applyRecord(const RemovedUpstream &removed, std::set<std::string> &changedServices)
@@ -211,7 +215,8 @@
     transport::logInfo(Part, "upstream removed",
                        {{"upstream", removed.id},
                         {"service", *services.begin()},
-                        {"revision", std::to_string(follower_.mirror().revision())}});
+                        {"era", std::to_string(follower_.mirror().position().era)},
+                        {"revision", std::to_string(follower_.mirror().position().revision)}});
     changedServices.insert(services.begin(), services.end());
 }
 
@@ -221,7 +226,8 @@
     transport::logInfo(Part, "failure domain changed",
                        {{"failure_domain", record.failureDomain},
                         {"evacuated", record.evacuated ? "yes" : "no"},
-                        {"revision", std::to_string(follower_.mirror().revision())}});
+                        {"era", std::to_string(follower_.mirror().position().era)},
+                        {"revision", std::to_string(follower_.mirror().position().revision)}});
 }
 
 void HostDaemon::updateHostShare()
@@ -355,7 +361,9 @@
     metrics_.gauge("persimmon_known_upstreams", "Registered upstreams.",
                    [this] { return static_cast<double>(registry_.size()); });
     metrics_.gauge("persimmon_store_revision", "Store revision up to which records are replicated.",
-                   [this] { return static_cast<double>(follower_.mirror().revision()); });
+                   [this] { return static_cast<double>(follower_.mirror().position().revision); });
+    metrics_.gauge("persimmon_store_era", "Era of the store whose records are replicated.",
+                   [this] { return static_cast<double>(follower_.mirror().position().era); });
     metrics_.gauge("persimmon_config_version", "Version of the active configuration.", [this] {
         const auto &routes = forwarder_.routes();
         return routes ? static_cast<double>(routes->config().version) : 0.0;
--- a/host/host_options.h
+++ b/host/host_options.h
@@ -39,6 +39,8 @@
     double cpuCores = 1;
     /// How long callers may cache a response of the directory.
     std::chrono::milliseconds directoryTtl{2000};
+    /// Time after a restore of the store in which its writers write again what it lost.
+    std::chrono::milliseconds reconcileTime = coordination::RecordFollowerOptions{}.reconcileTime;
     /// Heartbeat timeout for hosts in other regions.
     std::chrono::milliseconds remoteHeartbeatTimeout =
             state::EntryMembership::RemoteHeartbeatTimeout;
@@ -79,6 +81,7 @@
 {
     coordination::StoreHooks store;
     std::function<DecodedRecord(const state::StoreRecord &)> decodeRecord;
+    state::ContentVersionOf contentVersionOf;
     forward::HeaderNames headerNames;
     /// Parses the target of a directory lookup; returns std::nullopt for other targets.
     std::function<std::optional<LocateRequest>(const std::string &target)> parseLocateRequest;
--- a/main/persimmon_host.cpp
+++ b/main/persimmon_host.cpp
@@ -75,6 +75,7 @@
     host::HostHooks hooks;
     hooks.store = store.hooks();
     hooks.decodeRecord = platform::decodeRecord;
+    hooks.contentVersionOf = platform::contentVersionOf;
     hooks.headerNames = platform::headerNames();
     hooks.parseLocateRequest = platform::parseLocateRequest;
     hooks.formatLocateResponse = platform::formatLocateResponse;
--- a/tests/coordination/test_record_propagation.cpp
+++ b/tests/coordination/test_record_propagation.cpp
@@ -18,6 +18,8 @@
 
 constexpr int Regions = 3;
 constexpr int HostsPerRegion = 16;
+/// Era of the store.
+constexpr std::uint64_t Era = 1;
 constexpr milliseconds PollInterval{10};
 constexpr milliseconds TickInterval{250};
 /// Time after which a call to a silent store ends, beyond its wait time.
@@ -45,7 +47,7 @@
           store_(store),
           address_(member.control),
           membership_(std::move(member)),
-          follower_(runtime, storeHooks(), peerHooks(),
+          follower_(runtime, storeHooks(), peerHooks(), RecordFollowerOptions{},
                     [this](const auto & /*records*/) { exchange_.wakeWatchers(); }),
           exchange_(runtime, membership_, follower_, [this] { follower_.checkSource(); })
     {
@@ -61,7 +63,7 @@
         runtime_.spawn(tick());
     }
 
-    std::uint64_t revision() const { return follower_.mirror().revision(); }
+    std::uint64_t revision() const { return follower_.mirror().position().revision; }
 
 private:
     bool isSilent() const { return store_.silentHosts.contains(address_); }
@@ -81,7 +83,7 @@
         hooks.source = [this] {
             return state::selectStoreSource(membership_.liveMembers(), membership_.self().control);
         };
-        hooks.watch = [this](std::string peer, std::uint64_t after, milliseconds wait) {
+        hooks.watch = [this](std::string peer, state::StorePosition after, milliseconds wait) {
             return exchange_.watchPeer(std::move(peer), after, wait);
         };
         hooks.reset = [this] { exchange_.resetPeerWatch(); };
@@ -98,7 +100,7 @@
             co_await runtime_.clock().sleep(seconds(1));
             co_return StoreFailure::Unavailable;
         }
-        StorePage page{store_.items(), false, store_.revision};
+        StorePage page{store_.items(), false, {Era, store_.revision}};
         co_return page;
     }
 
@@ -118,7 +120,7 @@
         }
         if (lost)
             co_return StoreFailure::Unavailable;
-        StoreChanges changes{store_.items(), store_.revision};
+        StoreChanges changes{store_.items(), {Era, store_.revision}};
         co_return changes;
     }
 
--- a/tests/platform/test_settings_file.cpp
+++ b/tests/platform/test_settings_file.cpp
@@ -13,6 +13,7 @@
 region: "r1"
 zones: {z1: "r1", z2: "r2"}
 future_field: [1, 2]
+heartbeat_ms: 2000
 listen_addrs:
   front: "127.0.0.1:8104"
   ready_addr: "127.0.0.1:8108"
@@ -60,6 +61,8 @@
     // With this contact time, the directory may list a dead host for up to 7 s.
     CHECK(host.remoteHeartbeatTimeout <= std::chrono::seconds(6));
     CHECK(host.remoteHeartbeatTimeout > state::EntryMembership::HeartbeatTimeout);
+    // Registrations of dead upstreams expire after three heartbeat intervals.
+    CHECK(host.reconcileTime > std::chrono::seconds(6));
     CHECK(host.seeds.size() == 1);
     CHECK(valueOf(parsed).storeAddress == "127.0.0.1:9000");
 }
--- a/transport/http_connection.cpp
+++ b/transport/http_connection.cpp
@@ -86,8 +86,13 @@
     // Bytes after the response would be read as the response to the next request.
     if (!response.keep_alive() || buffer_.size() > 0)
         closeNow();
-    co_return HttpResponse{static_cast<int>(response.result_int()), std::move(response.body()),
-                           std::string(response[http::field::content_type])};
+    HttpResponse result(static_cast<int>(response.result_int()), std::move(response.body()),
+                        std::string(response[http::field::content_type]));
+    for (auto &name : request.responseFields) {
+        std::string value(response[name]);
+        result.fields.push_back({std::move(name), std::move(value)});
+    }
+    co_return result;
 }
 
 void HttpConnection::close()
--- a/transport/http_message.h
+++ b/transport/http_message.h
@@ -2,7 +2,9 @@
 
 #include <cstddef>
 #include <string>
+#include <string_view>
 #include <utility>
+#include <vector>
 
 namespace persimmon::transport {
 
@@ -24,6 +26,15 @@
     /// Path and query string.
     std::string target = "/";
     std::string body;
+    /// Header fields of the response that a client returns.
+    std::vector<std::string> responseFields;
+};
+
+/// Header field of a message.
+struct HttpField
+{
+    std::string name;
+    std::string value;
 };
 
 /// HTTP/1.1 response of a server handler or a client.
@@ -38,16 +49,28 @@
     {
     }
 
+    /// @return the value of a header field in @c fields; empty if it is missing.
+    std::string_view field(std::string_view name) const
+    {
+        for (const auto &candidate : fields) {
+            if (candidate.name == name)
+                return candidate.value;
+        }
+        return {};
+    }
+
     int status = 200;
     std::string body;
     std::string contentType = "application/json";
+    /// Further header fields. A client keeps only those that its request names.
+    std::vector<HttpField> fields;
 };
 
-/// Default maximum size of a message body for servers and clients, in bytes.
 /// Size of the read buffer of a connection. Bodies are moved out of it while they arrive, so that
 /// it bounds headers and framing, also if they never end.
 inline constexpr std::size_t MaxBufferedBytes = 128U * 1024U;
 
+/// Default maximum size of a message body for servers and clients, in bytes.
 inline constexpr std::size_t DefaultMaxBodyBytes = 32U * 1024U * 1024U;
 
 } // namespace persimmon::transport
--- a/transport/http_server.cpp
+++ b/transport/http_server.cpp
@@ -110,6 +110,8 @@
 {
     http::response<http::string_body> message(static_cast<http::status>(response.status), version);
     message.set(http::field::content_type, response.contentType);
+    for (const auto &field : response.fields)
+        message.set(field.name, field.value);
     message.keep_alive(keepAlive);
     message.body() = std::move(response.body);
     message.prepare_payload();
