Reject the highest value of the era field

Cause, by reading: parseEra() added one to 2^64-1, which gave 0, the era of a store that was not read. The check was not run on the code before. Change: such a value is no era. test_record_codec.cpp passes an era to decodePage() and decodeChanges() and compares the whole position, as the types changed; the checks of single fields stay.

--- a/tests/platform/test_record_codec.cpp
+++ b/tests/platform/test_record_codec.cpp
@@ -115,25 +115,66 @@
         decodeUpstream("i-1", text);
         decodeConfig(text);
         protocol::decodeBase64(text);
-        decodePage(text);
-        decodeChanges(text);
+        decodePage({text, 1});
+        decodeChanges({text, 1});
     }
 }
 
 TEST_CASE("pages and changes of the store are decoded with their revisions")
 {
     const auto page = decodePage(
-            R"({"items":[{"key":"a","value":"YQ==","revision":4,"created":2,"lease":0}],"has_more":true,"as_of":9})");
+            {R"({"items":[{"key":"a","value":"YQ==","revision":4,"created":2,"lease":0}],"has_more":true,"as_of":9})",
+             3});
     REQUIRE(isOk(page));
     CHECK(valueOf(page).hasMore);
-    CHECK(valueOf(page).asOf == 9);
+    CHECK(valueOf(page).asOf == state::StorePosition{3, 9});
     CHECK(valueOf(page).items.at(0) == state::StoreRecord{"a", 4, "YQ=="});
     const auto changes =
-            decodeChanges(R"({"events":[{"key":"a","revision":5,"deleted":true}],"as_of":5})");
+            decodeChanges({R"({"events":[{"key":"a","revision":5,"deleted":true}],"as_of":5})", 3});
     REQUIRE(isOk(changes));
+    CHECK(valueOf(changes).asOf == state::StorePosition{3, 5});
     CHECK_FALSE(valueOf(changes).records.at(0).value);
-    CHECK_FALSE(isOk(decodePage(R"({"items":[{"key":"a"}],"has_more":false,"as_of":1})")));
-    CHECK_FALSE(isOk(decodeChanges(R"({"events":[],"as_of":"x"})")));
+    CHECK_FALSE(isOk(decodePage({R"({"items":[{"key":"a"}],"has_more":false,"as_of":1})", 1})));
+    CHECK_FALSE(isOk(decodeChanges({R"({"events":[],"as_of":"x"})", 1})));
+}
+
+// Guards against two eras that are taken for one, and against a store without eras that is refused.
+TEST_CASE("the era of a response rises with the field and is never that of an unread store")
+{
+    CHECK(parseEra("") == parseEra("0"));
+    CHECK(parseEra("0") > state::StorePosition{}.era);
+    CHECK(parseEra("1") > parseEra("0"));
+    CHECK(parseEra("10") > parseEra("9"));
+    CHECK_FALSE(parseEra("x"));
+    CHECK_FALSE(parseEra("1x"));
+    CHECK_FALSE(parseEra("-1"));
+    CHECK_FALSE(parseEra(" "));
+    CHECK_FALSE(parseEra("1.5"));
+    // The highest value would wrap to the era of an unread store.
+    CHECK(parseEra("18446744073709551615") != state::StorePosition{}.era);
+}
+
+// Guards against values of a restarted server or of an older configuration that are taken as newer.
+TEST_CASE("content versions order the values of one key")
+{
+    const auto versionOf = [](const std::string &key, const std::string &text) {
+        return contentVersionOf({key, 1, protocol::encodeBase64(text)});
+    };
+    const auto server = versionOf("servers/i-1", Server);
+    REQUIRE(server);
+    CHECK(*server == state::ContentVersion{17, 4});
+    CHECK(versionOf("servers/i-1", replaced(Server, "\"sequence\":4", "\"sequence\":5")) > server);
+    auto restarted = replaced(Server, "\"sequence\":4", "\"sequence\":1");
+    restarted = replaced(restarted, "\"born\":17", "\"born\":18");
+    CHECK(versionOf("servers/i-1", restarted) > server);
+    CHECK(versionOf("op/config", replaced(Config, "\"version\":7", "\"version\":12"))
+          > versionOf("op/config", Config));
+    CHECK_FALSE(versionOf("op/config", "{}"));
+    CHECK_FALSE(versionOf("servers/i-1", replaced(Server, ",\"born\":17", "")));
+    CHECK_FALSE(versionOf("servers/i-1", "[]"));
+    CHECK_FALSE(versionOf("op/evacuate/z1", "{}"));
+    CHECK_FALSE(contentVersionOf({"op/config", 1, "not base64"}));
+    CHECK_FALSE(contentVersionOf({"op/config", 1, std::nullopt}));
 }
 
 TEST_CASE("directory lookups are parsed from the query")
