Judge answers of the store by the position that they follow

A watch from era 1 that was answered in era 2, after a peer had moved the mirror to era 2, was applied to it although the changes between the peer's position and the watched revision were missing. A read that a peer's records overtook was taken for a store that is too old, so that the host reported the store as unreachable. Change: both compare with the position of the mirror at the time of the call.

--- a/coordination/record_follower.cpp
+++ b/coordination/record_follower.cpp
@@ -118,6 +118,7 @@
 
 asio::awaitable<bool> RecordFollower::readSnapshot()
 {
+    const auto known = mirror_.position();
     std::vector<state::StoreRecord> items;
     state::StorePosition asOf;
     std::string after;
@@ -141,7 +142,8 @@
             after = page.items.back().key;
         items.insert(items.end(), page.items.begin(), page.items.end());
     }
-    if (asOf < mirror_.position()) {
+    // A peer may have moved the mirror on during the read, which is no fault of the store.
+    if (asOf < known) {
         log(transport::LogLevel::Warning, "store is older than the mirror; reading again",
             {{"store_era", std::to_string(asOf.era)},
              {"store_revision", std::to_string(asOf.revision)}});
@@ -163,7 +165,8 @@
 asio::awaitable<bool> RecordFollower::watchOnce()
 {
     const auto wait = connected_ ? WatchTimeout : FirstWatchTimeout;
-    auto result = co_await store_.watch(mirror_.position().revision, wait);
+    const auto after = mirror_.position();
+    auto result = co_await store_.watch(after.revision, wait);
     if (!isOk(result)) {
         needsSnapshot_ = errorOf(result) == StoreFailure::HistoryGone;
         setConnected(false, errorOf(result));
@@ -172,8 +175,9 @@
     }
     setConnected(true, StoreFailure::Unavailable);
     const auto &update = valueOf(result);
-    if (update.asOf.era != mirror_.position().era) {
-        // The changes follow a history that this mirror does not hold.
+    if (update.asOf.era != after.era) {
+        // The changes follow a history that this mirror does not hold, also if a peer has moved it
+        // to the new era meanwhile.
         needsSnapshot_ = true;
         log(transport::LogLevel::Warning, "store was restored from an older copy",
             {{"store_era", std::to_string(update.asOf.era)}});
