Let the simulated store be restored from an older copy

The platform's store may come back from a copy that is some seconds old: what was written since is lost, revisions are given out again, and the header field Store-Era rises by one. The stand-in could not play this, so no test showed it. Change: SimulatedKeyValueStore::restore() goes back to the items of a revision, also one before the last compaction, and raises the era; restores can follow one another. All responses carry the era, also 404, 410 and 503. A watch from a revision that the store does not have gets 410, and a waiting watch ends with 503. The history up to the copy stays readable, so that a client that ignores the era can continue a watch in another history. revisionBefore() finds the copy of an earlier time.

--- a/standin/simulated_key_value_store.cpp
+++ b/standin/simulated_key_value_store.cpp
@@ -5,6 +5,8 @@
 #include <boost/json.hpp>
 #include <boost/url/parse.hpp>
 
+#include <algorithm>
+
 namespace asio = boost::asio;
 namespace json = boost::json;
 
@@ -63,30 +65,72 @@
 
 void SimulatedKeyValueStore::put(const std::string &key, const std::string &value)
 {
-    const std::lock_guard lock(mutex_);
-    const Item item{key, value, ++revision_, false};
-    items_[key] = item;
-    history_.push_back(item);
+    write(key, value, false);
 }
 
 void SimulatedKeyValueStore::remove(const std::string &key)
+{
+    write(key, "", true);
+}
+
+void SimulatedKeyValueStore::write(const std::string &key, const std::string &value, bool deleted)
 {
     const std::lock_guard lock(mutex_);
-    items_.erase(key);
-    history_.push_back({key, "", ++revision_, true});
+    history_.push_back({key, value, history_.size() + 1, deleted, runtime_.clock().now()});
+    if (deleted)
+        items_.erase(key);
+    else
+        items_[key] = history_.back();
 }
 
 void SimulatedKeyValueStore::compact()
 {
     const std::lock_guard lock(mutex_);
-    history_.clear();
-    historyStart_ = revision_;
+    historyStart_ = history_.size();
+}
+
+void SimulatedKeyValueStore::restore(std::uint64_t revision)
+{
+    const std::lock_guard lock(mutex_);
+    history_.resize(std::min<std::size_t>(revision, history_.size()));
+    historyStart_ = std::min<std::uint64_t>(historyStart_, history_.size());
+    items_.clear();
+    for (const auto &item : history_) {
+        if (item.deleted)
+            items_.erase(item.key);
+        else
+            items_[item.key] = item;
+    }
+    ++era_;
+}
+
+std::uint64_t SimulatedKeyValueStore::revisionBefore(std::chrono::milliseconds age) const
+{
+    const auto time = runtime_.clock().now() - age;
+    const std::lock_guard lock(mutex_);
+    return static_cast<std::uint64_t>(
+            std::count_if(history_.begin(), history_.end(),
+                          [time](const Item &item) { return item.writtenAt <= time; }));
+}
+
+std::uint64_t SimulatedKeyValueStore::revision() const
+{
+    const std::lock_guard lock(mutex_);
+    return history_.size();
 }
 
 asio::awaitable<transport::HttpResponse>
 SimulatedKeyValueStore::handle(transport::HttpRequest request)
 {
     ++requests_;
+    auto response = co_await dispatch(std::move(request));
+    response.fields.push_back({EraField, std::to_string(era_)});
+    co_return response;
+}
+
+asio::awaitable<transport::HttpResponse>
+SimulatedKeyValueStore::dispatch(transport::HttpRequest request)
+{
     if (down_)
         co_return transport::HttpResponse(503, "{}");
     auto query = parseTarget(request.target);
@@ -113,7 +157,7 @@
         }
         rows.push_back(encodeItem(item));
     }
-    const json::object page{{"items", rows}, {"has_more", hasMore}, {"as_of", revision_}};
+    const json::object page{{"items", rows}, {"has_more", hasMore}, {"as_of", history_.size()}};
     return {200, json::serialize(page)};
 }
 
@@ -122,7 +166,7 @@
                                      bool allowEmpty)
 {
     const std::lock_guard lock(mutex_);
-    if (after < historyStart_)
+    if (after < historyStart_ || after > history_.size())
         return transport::HttpResponse(410, "{}");
     json::array events;
     for (const auto &item : history_) {
@@ -131,7 +175,7 @@
     }
     if (events.empty() && !allowEmpty)
         return std::nullopt;
-    const json::object changes{{"events", events}, {"as_of", revision_}};
+    const json::object changes{{"events", events}, {"as_of", history_.size()}};
     return transport::HttpResponse(200, json::serialize(changes));
 }
 
@@ -140,9 +184,10 @@
                                     std::chrono::milliseconds wait)
 {
     const auto end = runtime_.clock().now() + wait;
+    const auto era = era_.load();
     while (true) {
         const bool timedOut = runtime_.clock().now() >= end;
-        if (down_)
+        if (down_ || era != era_)
             co_return transport::HttpResponse(503, "{}");
         if (auto response = changesAfter(prefix, after, timedOut))
             co_return *response;
--- a/standin/simulated_key_value_store.h
+++ b/standin/simulated_key_value_store.h
@@ -3,21 +3,25 @@
 #include "transport/transport.h"
 
 #include <atomic>
-#include <deque>
 #include <map>
 #include <mutex>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace persimmon::standin {
 
-/// Simulates the platform's key-value store: items with revisions, paginated range reads, and
-/// watches over a change history. Thread-safe; must outlive the runtime's handlers.
+/// Simulates the platform's key-value store: items with revisions, paginated range reads, watches
+/// over a change history, and restores from older copies of itself. All responses carry the era of
+/// the history. Thread-safe; must outlive the runtime's handlers.
 class SimulatedKeyValueStore
 {
 public:
     /// Maximum number of items in one page of a range read.
     static constexpr std::size_t PageSize = 5;
+    /// Header field of all responses that counts the restores of the store.
+    static constexpr const char *EraField = "Store-Era";
+    static constexpr std::uint64_t FirstEra = 1;
 
     explicit SimulatedKeyValueStore(transport::Runtime &runtime);
 
@@ -36,6 +40,17 @@
     /// Discards the history, so that watches from older revisions fail with 410.
     void compact();
 
+    /// Goes back to the items that the store had at a revision. Later writes are lost and their
+    /// revisions are assigned again. The era rises by one, and watches that are waiting end.
+    /// @param revision at most revision(); can be older than the last compaction.
+    void restore(std::uint64_t revision);
+
+    /// @return the revision that the store had @p age ago, as far as its history is not lost.
+    std::uint64_t revisionBefore(std::chrono::milliseconds age) const;
+
+    /// @return the revision of the last change.
+    std::uint64_t revision() const;
+
     /// Responds to all requests with 503 while @p down is true.
     void setDown(bool down) { down_ = down; }
 
@@ -49,9 +64,13 @@
         std::string value;
         std::uint64_t revision = 0;
         bool deleted = false;
+        transport::TimePoint writtenAt{};
     };
 
+    void write(const std::string &key, const std::string &value, bool deleted);
+
     boost::asio::awaitable<transport::HttpResponse> handle(transport::HttpRequest request);
+    boost::asio::awaitable<transport::HttpResponse> dispatch(transport::HttpRequest request);
     transport::HttpResponse handleRange(const std::string &prefix, const std::string &after);
     boost::asio::awaitable<transport::HttpResponse>
     handleWatch(std::string prefix, std::uint64_t after, std::chrono::milliseconds wait);
@@ -64,10 +83,12 @@
     transport::HttpServer server_;
     std::atomic<bool> down_ = false;
     std::atomic<std::uint64_t> requests_ = 0;
-    std::mutex mutex_;
+    std::atomic<std::uint64_t> era_ = FirstEra;
+    mutable std::mutex mutex_;
     std::map<std::string, Item> items_;
-    std::deque<Item> history_;
-    std::uint64_t revision_ = 0;
+    /// All writes of this history, from revision 1, also those before historyStart_.
+    std::vector<Item> history_;
+    /// Watches from earlier revisions fail.
     std::uint64_t historyStart_ = 0;
 };
 
