--- a/tests/system/platform_cluster.cpp
+++ b/tests/system/platform_cluster.cpp
@@ -15,6 +15,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds PollInterval{20};
+/// Number of failure domains over which the hosts are distributed.
+constexpr int ZoneCount = 3;
 
 /// @return a free port that was not returned before, outside the range of ephemeral ports: a
 ///         connection of another test could otherwise occupy it before the host listens.
@@ -71,10 +73,10 @@
         registerUpstream(id, "ready");
     }
     publishConfig(1, "/g/");
-    for (int host = 1; host <= HostCount; ++host)
+    for (int host = 1; host <= options_.hostCount; ++host)
         ports_[host] = {allocatePort(), allocatePort(), allocatePort(), allocatePort(),
                         allocatePort()};
-    for (int host = 1; host <= HostCount; ++host)
+    for (int host = 1; host <= options_.hostCount; ++host)
         startHost(host);
 }
 
@@ -110,7 +112,8 @@
 {
     const auto &ports = ports_.at(host);
     std::ofstream file(settingsPath(host));
-    file << "node_name: host" << host << "\nzone: z" << host << "\nregion: r\n"
+    file << "node_name: host" << host << "\nzone: z" << 1 + (host - 1) % ZoneCount
+         << "\nregion: r\n"
          << "zones: {z1: r, z2: r, z3: r}\nlisten_addrs:\n"
          << "  front: " << loopbackAddress(ports.front)
          << "\n  directory: " << loopbackAddress(ports.directory)
@@ -147,11 +150,27 @@
 
 void PlatformCluster::registerUpstream(const std::string &id, const std::string &state)
 {
-    store_.put("servers/" + id,
-               R"({"service":")" + options_.serviceOf.at(id) + R"(","address":")"
-                       + addresses_.at(id)
-                       + R"(","zone":"z1","version":"v","concurrency_limit":4,"state":")" + state
-                       + R"(","cold_left_ms":0,"sequence":1,"born":1})");
+    const auto domain = options_.failureDomainOf.find(id);
+    const auto zone = domain == options_.failureDomainOf.end() ? "z1" : domain->second;
+    store_.put("servers/" + id, R"({"service":")" + options_.serviceOf.at(id) + R"(","address":")"
+                                        + addresses_.at(id) + R"(","zone":")" + zone
+                                        + R"(","version":"v","concurrency_limit":4,"state":")"
+                                        + state + R"(","cold_left_ms":0,"sequence":)"
+                                        + std::to_string(++sequences_[id]) + R"(,"born":1})");
+}
+
+void PlatformCluster::deregisterUpstream(const std::string &id)
+{
+    store_.remove("servers/" + id);
+}
+
+void PlatformCluster::setEvacuated(const std::string &domain, bool evacuated)
+{
+    const auto key = "op/evacuate/" + domain;
+    if (evacuated)
+        store_.put(key, "{}");
+    else
+        store_.remove(key);
 }
 
 RawResponse PlatformCluster::handleRequest(const std::string &id, const std::string &request)
@@ -170,7 +189,7 @@
     const auto fields = "X-Response-Stamp: " + options_.serviceOf.at(id)
                         + "\r\nX-Request-Id: " + fieldOf(request, "X-Request-Id") + "\r\n";
     RawResponse result{makeResponse(std::string(16, id.front()), "", fields)};
-    result.delay = std::chrono::milliseconds(5);
+    result.delay = options_.responseTime;
     return result;
 }
 
--- a/tests/system/platform_cluster.h
+++ b/tests/system/platform_cluster.h
@@ -15,6 +15,8 @@
 /// Upstreams of a PlatformCluster, and the addresses at which hosts reach them and the store.
 struct PlatformClusterOptions
 {
+    static constexpr int DefaultHostCount = 3;
+
     /// Handles a complete request whose X-Expect-Instance is the id of the upstream.
     using RequestHandler =
             std::function<RawResponse(const std::string &id, const std::string &request)>;
@@ -23,6 +25,13 @@
     std::map<std::string, std::string> serviceOf{{"a1", "shard-a"}, {"a2", "shard-a"},
                                                  {"b1", "shard-b"}, {"b2", "shard-b"},
                                                  {"p1", "pay"},     {"p2", "pay"}};
+    /// Number of hosts, from 1. With more than state::StoreReaderCount, some follow peers in place
+    /// of the store.
+    int hostCount = DefaultHostCount;
+    /// Failure domain of each upstream, by id; z1 for others.
+    std::map<std::string, std::string> failureDomainOf = {};
+    /// Time that upstreams take for the default response of PlatformCluster.
+    std::chrono::milliseconds responseTime{5};
     /// Replaces the default response of PlatformCluster if set.
     RequestHandler requestHandler = {};
     /// Returns the address to register for an upstream, for example that of a proxy in front of it.
@@ -40,7 +49,8 @@
 class PlatformCluster
 {
 public:
-    static constexpr int HostCount = 3;
+    /// Number of hosts unless the options set another one.
+    static constexpr int HostCount = PlatformClusterOptions::DefaultHostCount;
     /// Time for which callers may cache responses of the directory.
     static constexpr int DefaultTtlSeconds = 2;
 
@@ -50,15 +60,23 @@
     PlatformCluster &operator=(const PlatformCluster &) = delete;
 
     void startHost(int host);
+    int hostCount() const { return options_.hostCount; }
     Process &process(int host) { return *processes_.at(host); }
     standin::SimulatedKeyValueStore &store() { return store_; }
 
     /// Writes a configuration whose scatter-gather route has @p prefix.
     void publishConfig(std::uint64_t version, const std::string &prefix);
 
-    /// Registers an upstream, or changes its state.
+    /// Registers an upstream, or changes its state. The sequence number of the registration rises
+    /// with each call.
     void registerUpstream(const std::string &id, const std::string &state);
 
+    /// Removes the registration of an upstream.
+    void deregisterUpstream(const std::string &id);
+
+    /// Starts or ends the evacuation of a failure domain.
+    void setEvacuated(const std::string &domain, bool evacuated);
+
     /// @return whether the host reports readiness within @p limit.
     bool waitUntilReady(int host, std::chrono::milliseconds limit = std::chrono::seconds(10));
 
@@ -127,6 +145,7 @@
     std::map<int, Ports> ports_;
     std::map<std::string, std::string> addresses_;
     mutable std::mutex mutex_;
+    std::map<std::string, int> sequences_;
     std::map<std::string, int> executionCounts_;
     std::atomic<bool> dropResponses_ = false;
     std::map<std::string, std::unique_ptr<RawUpstream>> upstreams_;
--- a/tests/system/test_platform_hosts.cpp
+++ b/tests/system/test_platform_hosts.cpp
@@ -1,4 +1,4 @@
-#include "tests/system/platform_cluster.h"
+#include "tests/system/platform_checks.h"
 
 #include <doctest/doctest.h>
 
@@ -22,20 +22,6 @@
            && fieldOf(response, "X-Missing-Parts") == "0";
 }
 
-void waitUntilAllListed(PlatformCluster &cluster)
-{
-    for (int host = 1; host <= PlatformCluster::HostCount; ++host)
-        REQUIRE_MESSAGE(cluster.waitUntilReady(host), cluster.lastLogLine(host));
-    REQUIRE(cluster.waitUntil([&] {
-        const auto addresses = cluster.locate(1);
-        for (int host = 1; host <= PlatformCluster::HostCount; ++host) {
-            if (addresses.find(cluster.frontAddress(host)) == std::string::npos)
-                return false;
-        }
-        return true;
-    }));
-}
-
 } // namespace
 
 // Guards against hosts that need the store for each request, and against a restarted host that
