Reconcile only after an answer of the store that follows the reconcile time

A host whose last answer was at most 4 s old when the reconcile time of 4.5 s ended reconciled, although it was cut off from the store 1 to 4 s after the return and had not seen what was written again. A host that follows a peer took each answer of the peer, also an empty one, as an update, and reconciled while the peer received nothing. Both dropped current records. Change: only answers of the store count, and only those after the reconcile time. Hosts that follow a peer reconcile with a peer that is reconciled, as before. Ruled out: a loop of reads after a restore (one read and fewer than 10 watches in 10 s). Not bounded: a store that answers every watch with 410 is read 42 times in 10 s; the test prints it.

--- a/coordination/record_follower.cpp
+++ b/coordination/record_follower.cpp
@@ -33,9 +33,7 @@
 /// Expected upper bound of the time between the first report of a revision by a peer and its
 /// arrival by the own watch.
 constexpr std::chrono::milliseconds MaxWatchLag{700};
-/// A mirror that was not updated for this time is not up to date.
-constexpr std::chrono::milliseconds MaxUpdateAge = PeerWatchTimeout;
-/// Interval at which a due reconciliation waits for a current mirror.
+/// Interval at which a due reconciliation waits for an answer of the store.
 constexpr std::chrono::milliseconds ReconcileRetryInterval{250};
 
 } // namespace
@@ -92,7 +90,6 @@
         // Another source is tried without a retry delay.
         co_return peers_.source() != state::StoreSource{false, peer};
     }
-    lastUpdateAt_ = runtime_.clock().now();
     applyPeerDelta(valueOf(result));
     co_return true;
 }
@@ -154,7 +151,7 @@
     needsSnapshot_ = false;
     const auto changes = mirror_.applySnapshot(items, asOf);
     setConnected(true, StoreFailure::Unavailable);
-    lastUpdateAt_ = runtime_.clock().now();
+    storeAnsweredAt_ = runtime_.clock().now();
     log(transport::LogLevel::Info, "loaded store snapshot",
         {{"records", std::to_string(items.size())}, {"news", std::to_string(changes.size())}});
     onMirrorUpdated();
@@ -183,7 +180,7 @@
             {{"store_era", std::to_string(update.asOf.era)}});
         co_return true;
     }
-    lastUpdateAt_ = runtime_.clock().now();
+    storeAnsweredAt_ = runtime_.clock().now();
     const auto changes = mirror_.apply(update.records, update.asOf);
     onMirrorUpdated();
     if (!changes.empty())
@@ -208,10 +205,11 @@
 
 asio::awaitable<void> RecordFollower::reconcileAfterRestore(std::uint64_t era)
 {
+    const auto due = runtime_.clock().now() + options_.reconcileTime;
     co_await runtime_.clock().sleep(options_.reconcileTime);
     while (era == era_ && !mirror_.isReconciled()) {
-        // A mirror that is not up to date may lack what was written again.
-        if (runtime_.clock().now() - lastUpdateAt_ <= MaxUpdateAge) {
+        // A mirror that the store has not updated since then may lack what was written again.
+        if (storeAnsweredAt_ >= due) {
             reconcile();
             co_return;
         }
--- a/coordination/record_follower.h
+++ b/coordination/record_follower.h
@@ -141,7 +141,8 @@
     state::RecordMirror mirror_;
     /// Last era of the mirror that onMirrorUpdated() has handled.
     std::uint64_t era_ = 0;
-    transport::TimePoint lastUpdateAt_{};
+    /// Time of the last answer of the store that the mirror has applied.
+    transport::TimePoint storeAnsweredAt_{};
     bool connected_ = false;
     /// Peer whose mirror is watched; empty while the store is read.
     std::string peer_;
--- a/ctl/entry_commands.cpp
+++ b/ctl/entry_commands.cpp
@@ -48,7 +48,7 @@
     const auto response = fetch(entry, {"GET", std::string(target.buffer()), ""}, timeout);
     if (!isOk(response))
         return makeFailure("the request to the entry failed: " + errorOf(response).message);
-    const auto &[status, body, type] = valueOf(response);
+    const auto &[status, body, type, fields] = valueOf(response);
     if (status == HttpOk) {
         const auto answer = protocol::decodeLocateResponse(body);
         return isOk(answer) ? makeBodyResult(body, true, asJson)
@@ -70,7 +70,7 @@
                 "the request to the entry failed: " + error.message
                 + (error.written ? "; the query may have run" : "; the query did not run"));
     }
-    const auto &[status, body, type] = valueOf(response);
+    const auto &[status, body, type, fields] = valueOf(response);
     const auto answer = protocol::decodeQueryResponse(body);
     if (!isOk(answer))
         return makeInvalidResponseFailure(status, errorOf(answer));
