State the era of a restored service in the service and exchange protocols

A configuration service or host list that is restored from an older copy assigns revisions again.

Answers, configuration entries, rows of the host list and view exchanges can now state an era. The first era is left out of every message, so messages are unchanged before the first restore and builds without eras decode them. A reader that states no era is served by revision alone, as before. The stand-in makes a copy (platform_copy) and goes back to it (platform_restore).

No reader compares eras yet. Not chosen: an era only on the answer. A value of the restored copy then looks like one that was written after the restore with the same revision; with the era on each entry the order needs no guess.

--- /dev/null
+++ b/protocol/history_position.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <algorithm>
+#include <compare>
+#include <cstdint>
+
+namespace persimmon::protocol {
+
+/// Point in the history of the configuration service or of the host list. A service that is
+/// restored from an older copy starts a new era, in which it assigns revisions that an earlier era
+/// has already assigned, so the era is compared first.
+struct HistoryPosition
+{
+    /// From 1; 0 before the first read. A message without an era is of era 1.
+    std::uint64_t era = 0;
+    std::uint64_t revision = 0;
+
+    auto operator<=>(const HistoryPosition &) const = default;
+};
+
+/// @return the era to state in a message; a reader that knows nothing yet states the first one.
+inline std::uint64_t statedEra(const HistoryPosition &position)
+{
+    return std::max<std::uint64_t>(1, position.era);
+}
+
+} // namespace persimmon::protocol
--- a/protocol/host_record_json.cpp
+++ b/protocol/host_record_json.cpp
@@ -1,5 +1,7 @@
 #include "protocol/host_record_json.h"
 
+#include "protocol/era_json.h"
+
 namespace json = boost::json;
 
 namespace persimmon::protocol {
@@ -16,6 +18,9 @@
     if (host.kind == HostKind::Upstream)
         host.service = reader.member("service").name();
     host.state = reader.member("state").enumerator(HostStateNames);
+    host.era = readEra(reader, "era");
+    if (reader.has("revision"))
+        host.revision = reader.member("revision").integer();
     return host;
 }
 
@@ -32,6 +37,9 @@
                          {"state", enumName(HostStateNames, host.state)}};
         if (host.kind == HostKind::Upstream)
             row["service"] = host.service;
+        writeEra(row, "era", host.era);
+        if (host.revision > 0)
+            row["revision"] = host.revision;
         rows.emplace_back(std::move(row));
     }
     return rows;
--- a/protocol/platform_codec.cpp
+++ b/protocol/platform_codec.cpp
@@ -1,6 +1,7 @@
 #include "protocol/platform_codec.h"
 #include "protocol/json_writer.h"
 
+#include "protocol/era_json.h"
 #include "protocol/host_record_json.h"
 
 namespace json = boost::json;
@@ -22,6 +23,7 @@
     const auto value = reader.member("value");
     if (!value.value().is_null())
         entry.value = serializeJson(value.value());
+    entry.era = readEra(reader, "era");
     return entry;
 }
 
@@ -31,6 +33,9 @@
     response.revision = reader.member("revision").integer();
     reader.member("entries").forEach(
             [&](const JsonReader &row) { response.entries.push_back(readEntry(row)); });
+    response.era = readEra(reader, "era");
+    if (reader.has("complete"))
+        response.isComplete = reader.member("complete").boolean();
     return response;
 }
 
@@ -40,6 +45,7 @@
     response.revision = reader.member("revision").integer();
     if (reader.has("hosts"))
         response.hosts = readHosts(reader.member("hosts"));
+    response.era = readEra(reader, "era");
     return response;
 }
 
@@ -49,13 +55,17 @@
 {
     std::string entries;
     for (const auto &entry : response.entries) {
-        const json::object row{{"key", entry.key}, {"revision", entry.revision}};
+        json::object row{{"key", entry.key}, {"revision", entry.revision}};
+        writeEra(row, "era", entry.era);
         entries += entries.empty() ? "[" : ",";
         entries += withRawMember(serializeJson(row), "value", entry.value.value_or(""), "null");
     }
     entries += entries.empty() ? "[]" : "]";
-    return withRawMember(serializeJson(json::object{{"revision", response.revision}}), "entries",
-                         entries, "[]");
+    json::object body{{"revision", response.revision}};
+    writeEra(body, "era", response.era);
+    if (response.isComplete)
+        body["complete"] = true;
+    return withRawMember(serializeJson(body), "entries", entries, "[]");
 }
 
 ProtocolResult<ConfigResponse> decodeConfigResponse(std::string_view body)
@@ -66,6 +76,7 @@
 std::string encodeHostsResponse(const HostsResponse &response)
 {
     json::object body{{"revision", response.revision}};
+    writeEra(body, "era", response.era);
     if (response.hosts)
         body["hosts"] = hostsArray(*response.hosts);
     return serializeJson(body);
--- a/protocol/platform_messages.h
+++ b/protocol/platform_messages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "protocol/history_position.h"
 #include "protocol/protocol_error.h"
 
 #include <cstdint>
@@ -16,17 +17,25 @@
     std::uint64_t revision = 0;
     /// JSON text of the value; std::nullopt if the key was deleted.
     std::optional<std::string> value;
+    /// Era in which the value was written.
+    std::uint64_t era = 1;
 
+    HistoryPosition position() const { return {era, revision}; }
     bool operator==(const ConfigEntry &) const = default;
 };
 
 /// Response of the configuration service: the newest value of each key that changed since the
-/// requested revision.
+/// requested position, or of all keys if that position is of an
+/// earlier era.
 struct ConfigResponse
 {
     std::uint64_t revision = 0;
     std::vector<ConfigEntry> entries;
+    std::uint64_t era = 1;
+    /// Whether the entries are all that the service has.
+    bool isComplete = false;
 
+    HistoryPosition position() const { return {era, revision}; }
     bool operator==(const ConfigResponse &) const = default;
 };
 
@@ -55,17 +64,23 @@
     /// Service of an upstream; empty for an entry host.
     std::string service;
     HostState state = HostState::Live;
+    /// Era in which the row was written, and its revision; 0 if the service does not state it.
+    std::uint64_t era = 1;
+    std::uint64_t revision = 0;
 
+    HistoryPosition position() const { return {era, revision}; }
     bool operator==(const HostRecord &) const = default;
 };
 
 /// Response with the host list: the complete list, or std::nullopt if it has not changed since the
-/// requested revision.
+/// requested position.
 struct HostsResponse
 {
     std::uint64_t revision = 0;
     std::optional<std::vector<HostRecord>> hosts;
+    std::uint64_t era = 1;
 
+    HistoryPosition position() const { return {era, revision}; }
     bool operator==(const HostsResponse &) const = default;
 };
 
--- a/protocol/view_codec.cpp
+++ b/protocol/view_codec.cpp
@@ -1,6 +1,7 @@
 #include "protocol/view_codec.h"
 #include "protocol/json_writer.h"
 
+#include "protocol/era_json.h"
 #include "protocol/host_record_json.h"
 
 namespace json = boost::json;
@@ -50,6 +51,7 @@
         json::object row{{"key", entry.key}, {"revision", entry.revision}, {"value", nullptr}};
         if (entry.value)
             row["value"] = *entry.value;
+        writeEra(row, "era", entry.era);
         rows.emplace_back(std::move(row));
     }
     return rows;
@@ -109,6 +111,7 @@
         ConfigEntry entry{row.member("key").name(), row.member("revision").integer(), {}};
         if (row.has("value"))
             entry.value = row.member("value").text();
+        entry.era = readEra(row, "era");
         entries.push_back(std::move(entry));
     });
     return entries;
@@ -118,13 +121,20 @@
 template <typename Message>
 json::object commonObject(const Message &message)
 {
-    return {{"host", message.host},
-            {"config_revision", message.configRevision},
-            {"config_digest", message.configDigest},
-            {"hosts_revision", message.hostsRevision},
-            {"quarantine", quarantineArray(message.quarantine)},
-            {"leaving", leavingArray(message.leaving)},
-            {"incarnations", incarnationsArray(message.incarnations)}};
+    json::object body{{"host", message.host},
+                      {"config_revision", message.configRevision},
+                      {"config_digest", message.configDigest},
+                      {"hosts_revision", message.hostsRevision},
+                      {"quarantine", quarantineArray(message.quarantine)},
+                      {"leaving", leavingArray(message.leaving)},
+                      {"incarnations", incarnationsArray(message.incarnations)}};
+    writeEra(body, "config_era", message.configEra);
+    writeEra(body, "hosts_era", message.hostsEra);
+    if (!message.configReconciled)
+        body["config_reconciled"] = false;
+    if (!message.hostsReconciled)
+        body["hosts_reconciled"] = false;
+    return body;
 }
 
 template <typename Message>
@@ -138,6 +148,13 @@
     message.quarantine = readQuarantine(reader.member("quarantine"));
     message.leaving = readLeaving(reader.member("leaving"));
     message.incarnations = readIncarnations(reader.member("incarnations"));
+    message.configEra = readEra(reader, "config_era");
+    message.hostsEra = readEra(reader, "hosts_era");
+    // There is nothing to adopt in the first era, the only one that older builds know.
+    if (reader.has("config_reconciled"))
+        message.configReconciled = reader.member("config_reconciled").boolean();
+    if (reader.has("hosts_reconciled"))
+        message.hostsReconciled = reader.member("hosts_reconciled").boolean();
     return message;
 }
 
@@ -164,6 +181,8 @@
             reader.member("confirmed_age_ms")
                     .milliseconds(std::chrono::milliseconds(0), std::chrono::milliseconds::max());
     response.ready = reader.member("ready").boolean();
+    if (reader.has("config_complete"))
+        response.configComplete = reader.member("config_complete").boolean();
     return response;
 }
 
@@ -192,6 +211,8 @@
     body["hosts_digest"] = response.hostsDigest;
     body["confirmed_age_ms"] = millisecondCount(response.confirmedAge);
     body["ready"] = response.ready;
+    if (response.configComplete)
+        body["config_complete"] = true;
     return serializeJson(body);
 }
 
--- a/protocol/view_messages.h
+++ b/protocol/view_messages.h
@@ -67,7 +67,15 @@
     std::vector<QuarantineEntry> quarantine;
     std::vector<LeavingEntry> leaving;
     std::vector<EntryIncarnation> incarnations;
-
+    std::uint64_t configEra = 1;
+    std::uint64_t hostsEra = 1;
+    /// Whether the requester has adopted the state of the service after the restore that began the
+    /// era.
+    bool configReconciled = true;
+    bool hostsReconciled = true;
+
+    HistoryPosition configPosition() const { return {configEra, configRevision}; }
+    HistoryPosition hostsPosition() const { return {hostsEra, hostsRevision}; }
     bool operator==(const ViewRequest &) const = default;
 };
 
@@ -91,7 +99,17 @@
     std::chrono::milliseconds confirmedAge{0};
     /// Whether the responder has a complete view (false while an agent starts).
     bool ready = false;
-
+    std::uint64_t configEra = 1;
+    std::uint64_t hostsEra = 1;
+    /// Whether the responder has adopted the state of the service after the restore that began the
+    /// era.
+    bool configReconciled = true;
+    bool hostsReconciled = true;
+    /// Whether the entries are all that the responder has.
+    bool configComplete = false;
+
+    HistoryPosition configPosition() const { return {configEra, configRevision}; }
+    HistoryPosition hostsPosition() const { return {hostsEra, hostsRevision}; }
     bool operator==(const ViewResponse &) const = default;
 };
 
--- a/standin/control_service.h
+++ b/standin/control_service.h
@@ -16,7 +16,8 @@
 ///
 /// Kinds for the platform: publish {"group","keep_ms"}, repartition {"group","services","keep_ms"},
 /// config_set {"key","value"}, config_delete {"key"}, host_put {"host","lag_ms"}, host_remove
-/// {"name","lag_ms"}, config_down, config_stale, config_slow {"delay_ms"}.
+/// {"name","lag_ms"}, config_down, config_stale, config_slow {"delay_ms"}, platform_copy,
+/// platform_restore (goes back to the last copy and starts the next era).
 ///
 /// GET /state returns the counters, GET /executions?request_id=R the executions of one request.
 class ControlService
--- a/standin/fault_commands.cpp
+++ b/standin/fault_commands.cpp
@@ -170,6 +170,22 @@
     return json::object{{"revision", simulator.store().revision()}};
 }
 
+CommandResult copyPlatform(DeploymentSimulator &simulator, const json::object & /*command*/)
+{
+    simulator.platform().faults().backup = simulator.store();
+    return json::object{{"revision", simulator.store().revision()}};
+}
+
+CommandResult restorePlatform(DeploymentSimulator &simulator, const json::object & /*command*/)
+{
+    const auto &backup = simulator.platform().faults().backup;
+    if (!backup)
+        return SimulatorError{SimulatorErrorCode::CommandInvalid, "no copy was made before"};
+    simulator.store().restore(*backup);
+    return json::object{{"revision", simulator.store().revision()},
+                        {"era", simulator.store().era()}};
+}
+
 std::map<std::string_view, FaultCommand> upstreamCommands()
 {
     return {
@@ -221,6 +237,8 @@
                  return json::object{};
              }},
             {"config_stale", setConfigStale},
+            {"platform_copy", copyPlatform},
+            {"platform_restore", restorePlatform},
             {"config_slow",
              [](DeploymentSimulator &simulator, const json::object &command) -> CommandResult {
                  simulator.platform().faults().configDelay =
--- a/standin/simulated_platform_service.cpp
+++ b/standin/simulated_platform_service.cpp
@@ -17,6 +17,14 @@
 constexpr std::chrono::milliseconds WatchPollInterval{10};
 constexpr std::chrono::milliseconds MaxWatchDuration{60'000};
 
+/// @return the position that a reader states. A reader that states no era knows of none and is
+///         served by revision alone.
+protocol::HistoryPosition statedPosition(const std::string &target, std::uint64_t currentEra)
+{
+    const auto era = targetNumber(target, "era");
+    return {era == 0 ? currentEra : era, targetNumber(target, "since")};
+}
+
 } // namespace
 
 SimulatedPlatformService::SimulatedPlatformService(transport::Runtime &runtime,
@@ -47,7 +55,6 @@
 asio::awaitable<HttpResponse> SimulatedPlatformService::readConfig(std::string target)
 {
     recordRead();
-    const auto since = targetNumber(target, "since");
     const std::chrono::milliseconds wait(targetNumber(target, "wait_ms"));
     const auto end = runtime_.clock().now() + std::min(wait, MaxWatchDuration);
     if (faults_.configDelay.count() > 0)
@@ -56,7 +63,9 @@
         if (faults_.configDown)
             co_return HttpResponse{503, R"({"error":"unavailable"})"};
         const auto &source = faults_.staleConfig ? *faults_.staleConfig : store_;
-        if (source.revision() > since || runtime_.clock().now() >= end)
+        const auto since = statedPosition(target, source.era());
+        const protocol::HistoryPosition current{source.era(), source.revision()};
+        if (current > since || runtime_.clock().now() >= end)
             co_return HttpResponse{200, protocol::encodeConfigResponse(source.changes(since))};
         co_await runtime_.clock().sleep(WatchPollInterval);
     }
@@ -65,11 +74,12 @@
 asio::awaitable<HttpResponse> SimulatedPlatformService::readHosts(std::string target)
 {
     recordRead();
-    const auto since = targetNumber(target, "since");
     const std::chrono::milliseconds wait(targetNumber(target, "wait_ms"));
     const auto end = runtime_.clock().now() + std::min(wait, MaxWatchDuration);
-    while (store_.hostsRevision() <= since && runtime_.clock().now() < end)
+    while (!store_.hostChanges(statedPosition(target, store_.era())).hosts
+           && runtime_.clock().now() < end)
         co_await runtime_.clock().sleep(WatchPollInterval);
+    const auto since = statedPosition(target, store_.era());
     co_return HttpResponse{200, protocol::encodeHostsResponse(store_.hostChanges(since))};
 }
 
--- a/standin/simulated_platform_service.h
+++ b/standin/simulated_platform_service.h
@@ -16,6 +16,8 @@
     std::chrono::milliseconds configDelay{0};
     /// Older copy that is served instead of the current data.
     std::optional<SimulatedPlatformStore> staleConfig;
+    /// Copy from which both services are restored.
+    std::optional<SimulatedPlatformStore> backup;
 };
 
 /// HTTP server that simulates the platform's configuration service and host list.
--- a/standin/simulated_platform_store.cpp
+++ b/standin/simulated_platform_store.cpp
@@ -14,23 +14,34 @@
 std::uint64_t SimulatedPlatformStore::set(const std::string &key, std::optional<std::string> value)
 {
     ++revision_;
-    entries_[key] = {key, revision_, std::move(value)};
+    entries_[key] = {key, revision_, std::move(value), era_};
     return revision_;
 }
 
-protocol::ConfigResponse SimulatedPlatformStore::changes(std::uint64_t since) const
+void SimulatedPlatformStore::restore(const SimulatedPlatformStore &copy)
 {
-    protocol::ConfigResponse reply{revision_, {}};
+    const auto nextEra = era_ + 1;
+    *this = copy;
+    era_ = nextEra;
+}
+
+protocol::ConfigResponse
+SimulatedPlatformStore::changes(const protocol::HistoryPosition &since) const
+{
+    const bool isComplete = since.era < era_ || since.revision == 0;
+    protocol::ConfigResponse reply{revision_, {}, era_, isComplete};
     for (const auto &[key, entry] : entries_) {
-        if (entry.revision > since)
+        if (isComplete || entry.revision > since.revision)
             reply.entries.push_back(entry);
     }
     return reply;
 }
 
-void SimulatedPlatformStore::putHost(const protocol::HostRecord &host)
+void SimulatedPlatformStore::putHost(protocol::HostRecord host)
 {
     ++hostsRevision_;
+    host.era = era_;
+    host.revision = hostsRevision_;
     const auto found = std::find_if(hosts_.begin(), hosts_.end(),
                                     [&](const auto &row) { return row.name == host.name; });
     if (found == hosts_.end())
@@ -45,11 +56,12 @@
     std::erase_if(hosts_, [&](const auto &row) { return row.name == name; });
 }
 
-protocol::HostsResponse SimulatedPlatformStore::hostChanges(std::uint64_t since) const
+protocol::HostsResponse
+SimulatedPlatformStore::hostChanges(const protocol::HistoryPosition &since) const
 {
-    if (since >= hostsRevision_)
-        return {hostsRevision_, std::nullopt};
-    return {hostsRevision_, hosts_};
+    if (since >= protocol::HistoryPosition{era_, hostsRevision_})
+        return {hostsRevision_, std::nullopt, era_};
+    return {hostsRevision_, hosts_, era_};
 }
 
 } // namespace persimmon::standin
--- a/tests/protocol/test_json_codecs.cpp
+++ b/tests/protocol/test_json_codecs.cpp
@@ -40,6 +40,12 @@
     response.incarnations = {{"h3", 1, 2, 3}};
     response.confirmedAge = 48h;
     response.ready = true;
+    response.entries.push_back({"out/hosts", 4, "[]", 3});
+    response.hosts->push_back({"h2", HostKind::Entry, "127.0.0.2", "d1", "", {}, 2, 9});
+    response.configEra = 4;
+    response.hostsEra = 5;
+    response.configReconciled = false;
+    response.configComplete = true;
     return response;
 }
 
@@ -66,6 +72,12 @@
     CHECK(require(decodeViewResponse(encodeViewResponse(viewResponse))) == viewResponse);
     const ViewRequest request{"h", 1, 2, true, 3, {{4, 5ms}}, {{"l", 6, 7ms}}, {{"i", 8, 9, 10}}};
     CHECK(require(decodeViewRequest(encodeViewRequest(request))) == request);
+    CHECK(encodeViewRequest(request).find("era") == std::string::npos);
+    auto restored = request;
+    restored.configEra = 2;
+    restored.hostsEra = 3;
+    restored.hostsReconciled = false;
+    CHECK(require(decodeViewRequest(encodeViewRequest(restored))) == restored);
 
     const auto done = makeDoneResponse();
     CHECK(require(decodeQueryResponse(encodeQueryResponse(done))) == done);
@@ -89,9 +101,13 @@
     const CancelExecution cancel{"r", 3};
     CHECK(require(decodeCancelExecution(encodeCancelExecution(cancel))) == cancel);
 
-    const ConfigResponse config{7, {{"a", 1, "[1]"}, {"b", 2, std::nullopt}}};
-    CHECK(require(decodeConfigResponse(encodeConfigResponse(config))) == config);
-    for (const auto &hosts : {HostsResponse{1, std::nullopt}, HostsResponse{2, viewResponse.hosts}})
+    for (const std::uint64_t era : {1, 4}) {
+        const ConfigResponse config{
+                7, {{"a", 1, "[1]"}, {"b", 2, std::nullopt}, {"c", 3, "[]", era}}, era, era > 1};
+        CHECK(require(decodeConfigResponse(encodeConfigResponse(config))) == config);
+    }
+    for (const auto &hosts : {HostsResponse{1, std::nullopt}, HostsResponse{2, viewResponse.hosts},
+                              HostsResponse{2, viewResponse.hosts, 3}})
         CHECK(require(decodeHostsResponse(encodeHostsResponse(hosts))) == hosts);
 }
 
--- a/tests/standin/test_deployment_simulator.cpp
+++ b/tests/standin/test_deployment_simulator.cpp
@@ -92,6 +92,29 @@
     CHECK(statusOf(simulator.execute(UpstreamA, "r").get()) == 200);
 }
 
+// Guards against a restored service that cannot be told from one that has never been restored.
+TEST_CASE("a restored configuration service serves the copy in a new era to readers that state one")
+{
+    SimulatorFixture simulator;
+    simulator.fault(R"({"kind":"platform_copy"})");
+    simulator.fault(R"({"kind":"config_set","key":"out/domains","value":["d-a"]})");
+    simulator.fault(R"({"kind":"platform_restore"})");
+    const auto restored = simulator.get(Platform, "/v1/config?since=2&era=1&wait_ms=2000");
+    CHECK(restored.at("revision").to_number<int>() == 1);
+    CHECK(restored.at("era").to_number<int>() == 2);
+    CHECK(restored.at("complete").as_bool());
+    CHECK_FALSE(restored.at("entries").as_array().empty());
+    CHECK(simulator.get(Platform, "/v1/config?since=2").at("entries").as_array().empty());
+    const auto hosts = simulator.get(Platform, "/v1/hosts?since=1&era=1&wait_ms=2000");
+    CHECK(hosts.at("era").to_number<int>() == 2);
+    CHECK(hosts.contains("hosts"));
+    simulator.fault(R"({"kind":"config_set","key":"out/domains","value":["d-b"]})");
+    const auto rewritten = simulator.get(Platform, "/v1/config?since=1&era=2");
+    REQUIRE(rewritten.at("entries").as_array().size() == 1);
+    CHECK_FALSE(rewritten.contains("complete"));
+    CHECK(rewritten.at("entries").at(0).at("era").to_number<int>() == 2);
+}
+
 // Guards against a stale configuration service that serves the newest revision.
 TEST_CASE("configuration changes increase the revision and a stale service does not return them")
 {
