Order configuration entries by era before revision

Callers saw: after the configuration service was restored from an older copy, a change that it had confirmed was not in force until its revision exceeded the last one of the lost history. Agents also never agreed again with the service about changes that nobody had written again.

Cause: ConfigStore kept the higher revision of each key, the watch asked for changes after a revision, and exchanges and confirmations compared revisions, although a restored service assigns them again.

Ruled out: a reader that takes whatever the service of a new era states. It brings back a value that is older than the one in force, or one that was withdrawn, until the operators have written the newer one again.

Now entries, positions, digests and exchanges are ordered by (era, revision). A value written again wins at any revision, and a value of the copy keeps its earlier era and loses against a later one that is known. Five seconds after the first sight of the era, a process adopts a complete read of the service: values of the copy move into the new era and keys that it lacks are forgotten. Peers pass that on, and a store that has adopted takes no unknown key of an earlier era, so a host that was isolated does not bring one back.

The mutation older-revision-wins follows the changed line; it was not run.

--- a/coordination/config_service_client.cpp
+++ b/coordination/config_service_client.cpp
@@ -28,7 +28,8 @@
 }
 
 asio::awaitable<CoordinationResult<std::string>>
-ConfigServiceClient::fetch(std::string path, std::uint64_t since, std::chrono::milliseconds wait)
+ConfigServiceClient::fetch(std::string path, protocol::HistoryPosition since,
+                           std::chrono::milliseconds wait)
 {
     if (!connection_ || !connection_->isOpen()) {
         connection_ = std::make_shared<transport::HttpConnection>(executor_);
@@ -37,8 +38,10 @@
             co_return toCoordinationError(errorOf(connected));
     }
     transport::HttpRequest request;
-    request.target =
-            path + "?since=" + std::to_string(since) + "&wait_ms=" + std::to_string(wait.count());
+    request.target = path + "?since=" + std::to_string(since.revision)
+                     + "&wait_ms=" + std::to_string(wait.count());
+    if (since.era > 0)
+        request.target += "&era=" + std::to_string(since.era);
     const auto connection = connection_;
     const transport::Duration timeout = wait + ResponseTimeout;
     auto response = co_await connection->send(request, timeout);
@@ -54,7 +57,7 @@
 }
 
 asio::awaitable<CoordinationResult<protocol::ConfigResponse>>
-ConfigServiceClient::readConfig(std::uint64_t since, std::chrono::milliseconds wait)
+ConfigServiceClient::readConfig(protocol::HistoryPosition since, std::chrono::milliseconds wait)
 {
     const std::string path = "/v1/config";
     const auto body = co_await fetch(path, since, wait);
@@ -67,7 +70,7 @@
 }
 
 asio::awaitable<CoordinationResult<protocol::HostsResponse>>
-ConfigServiceClient::readHosts(std::uint64_t since, std::chrono::milliseconds wait)
+ConfigServiceClient::readHosts(protocol::HistoryPosition since, std::chrono::milliseconds wait)
 {
     const std::string path = "/v1/hosts";
     const auto body = co_await fetch(path, since, wait);
--- a/coordination/config_service_client.h
+++ b/coordination/config_service_client.h
@@ -14,19 +14,19 @@
     ConfigServiceClient(boost::asio::any_io_executor executor, transport::Endpoint service);
     ~ConfigServiceClient();
 
-    /// Reads the configuration entries changed after revision @p since.
+    /// Reads the configuration entries changed after @p since.
     /// @param wait maximum time for which the service may delay the reply until a newer revision
     ///        exists; zero for an immediate reply.
     boost::asio::awaitable<CoordinationResult<protocol::ConfigResponse>>
-    readConfig(std::uint64_t since, std::chrono::milliseconds wait);
+    readConfig(protocol::HistoryPosition since, std::chrono::milliseconds wait);
 
-    /// Reads the host list if it changed after revision @p since; see readConfig().
+    /// Reads the host list if it changed after @p since; see readConfig().
     boost::asio::awaitable<CoordinationResult<protocol::HostsResponse>>
-    readHosts(std::uint64_t since, std::chrono::milliseconds wait);
+    readHosts(protocol::HistoryPosition since, std::chrono::milliseconds wait);
 
 private:
     boost::asio::awaitable<CoordinationResult<std::string>>
-    fetch(std::string path, std::uint64_t since, std::chrono::milliseconds wait);
+    fetch(std::string path, protocol::HistoryPosition since, std::chrono::milliseconds wait);
 
     boost::asio::any_io_executor executor_;
     transport::Endpoint service_;
--- a/coordination/shared_view_store.cpp
+++ b/coordination/shared_view_store.cpp
@@ -13,6 +13,8 @@
     const auto update = read(merge);
     for (const auto &change : update.changes)
         record(change);
+    for (const auto &restore : update.restores)
+        logRestore(restore);
     return update.changed;
 }
 
@@ -37,4 +39,16 @@
                            {"reason", change.fault->reason}});
 }
 
+void SharedViewStore::logRestore(const state::RestoreEvent &restore)
+{
+    const auto *text = restore.isAdopted
+                               ? "Adopted the state of a restored service."
+                               : "A service was restored from an older copy; what it lacks is kept "
+                                 "while it is written again.";
+    transport::logInfo(part_, text,
+                       {{"source", restore.source},
+                        {"era", std::to_string(restore.position.era)},
+                        {"revision", std::to_string(restore.position.revision)}});
+}
+
 } // namespace persimmon::coordination
--- a/coordination/shared_view_store.h
+++ b/coordination/shared_view_store.h
@@ -34,6 +34,7 @@
 
 private:
     void record(const state::ConfigChange &change);
+    void logRestore(const state::RestoreEvent &restore);
 
     std::string part_;
     std::mutex mutex_;
--- a/coordination/view_refresh.cpp
+++ b/coordination/view_refresh.cpp
@@ -7,7 +7,8 @@
 asio::awaitable<bool> refreshConfig(SharedViewStore &store, ConfigServiceClient &client,
                                     transport::Clock &clock, std::chrono::milliseconds wait)
 {
-    const auto since = store.read([](auto &views) { return views.config().revision(); });
+    const auto since =
+            store.read([&](auto &views) { return views.configReadPosition(clock.now()); });
     const auto reply = co_await client.readConfig(since, wait);
     if (!isOk(reply))
         co_return false;
@@ -18,7 +19,10 @@
 asio::awaitable<bool> refreshHosts(SharedViewStore &store, ConfigServiceClient &client,
                                    transport::Clock &clock, std::chrono::milliseconds wait)
 {
-    const auto since = store.read([](auto &views) { return views.hostsRevision(); });
+    const auto since = store.read([](auto &views) {
+        // The era of the host list is not compared yet.
+        return protocol::HistoryPosition{0, views.hostsRevision()};
+    });
     const auto reply = co_await client.readHosts(since, wait);
     if (!isOk(reply))
         co_return false;
--- a/dispatch/json_service_executor.cpp
+++ b/dispatch/json_service_executor.cpp
@@ -42,7 +42,7 @@
     const bool topRanked = !ranking.empty() && ranking.front() == options_.host;
     {
         const std::lock_guard lock(mutex_);
-        if (view_ == view || (view_ && view_->configRevision > view->configRevision))
+        if (view_ == view || (view_ && view_->configPosition() > view->configPosition()))
             return;
         view_ = view;
         topRanked_ = topRanked;
--- a/misc/check_mutations.sh
+++ b/misc/check_mutations.sh
@@ -85,7 +85,7 @@
   's/host\.state == protocol::HostState::Live/!host.name.empty()/' \
   test_system 'a leaving upstream*'
 mutate older-revision-wins state/config_store.cpp \
-  's/const bool isNewest = entry\.revision > known\.newest\.revision;/const bool isNewest = true;/' \
+  's/const bool isNewest = entry\.position\(\) > known\.newest\.position\(\);/const bool isNewest = true;/' \
   test_state '*'
 mutate invalid-value-accepted state/config_store.cpp \
   's/change\.fault = errorOf\(parsed\);/change.fault = errorOf(parsed);\n        next.valid = entry;\n        next.document.reset();/' \
--- a/state/cluster_view.h
+++ b/state/cluster_view.h
@@ -18,6 +18,7 @@
 /// ViewStore builds a new one after each change; users hold it through a shared pointer.
 struct ClusterView
 {
+    std::uint64_t configEra = 1;
     std::uint64_t configRevision = 0;
     std::map<std::string, protocol::Profile, std::less<>> profiles;
     std::map<std::string, protocol::GroupSettings, std::less<>> groups;
@@ -35,6 +36,8 @@
     /// Incarnation and epoch of each host's entry daemon, where known.
     std::map<std::string, protocol::EntryIncarnation, std::less<>> incarnations;
 
+    protocol::HistoryPosition configPosition() const { return {configEra, configRevision}; }
+
     /// @return whether @p host can be assigned new work: it is live, not leaving, and neither the
     ///         host nor its failure domain is out of service.
     bool isAvailable(const protocol::HostRecord &host) const;
--- a/state/view_store.cpp
+++ b/state/view_store.cpp
@@ -12,6 +12,18 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(expiresAt - now);
 }
 
+constexpr const char *ConfigSource = "configuration";
+
+/// @return the entries of a restored service as written in @p era. Their revisions are below those
+///         of all writes in that era.
+std::vector<protocol::ConfigEntry> entriesOfEra(std::vector<protocol::ConfigEntry> entries,
+                                                std::uint64_t era)
+{
+    for (auto &entry : entries)
+        entry.era = era;
+    return entries;
+}
+
 } // namespace
 
 ViewStore::ViewStore(std::string host) : host_(std::move(host)) {}
@@ -26,19 +38,57 @@
 ViewUpdate ViewStore::applyConfig(const protocol::ConfigResponse &reply, TimePoint now)
 {
     ViewUpdate update;
-    update.changes = config_.merge(reply.entries, "service");
-    update.changed = !update.changes.empty() || reply.revision > config_.revision();
-    if (reply.revision >= config_.revision())
+    const bool isCurrent = reply.position() >= config_.position();
+    if (isCurrent)
         configConfirmedAt_ = now;
-    config_.advanceRevision(reply.revision);
+    advanceConfig(update, reply.position(), now);
+    const bool adopts = isCurrent && reply.isComplete && isConfigAdoptionDue(now);
+    mergeConfig(update, adopts ? entriesOfEra(reply.entries, reply.era) : reply.entries, adopts,
+                "service");
     return invalidateIfChanged(std::move(update));
 }
 
+void ViewStore::advanceConfig(ViewUpdate &update, const protocol::HistoryPosition &position,
+                              TimePoint now)
+{
+    // A peer that knows nothing yet states no position.
+    if (position.revision == 0)
+        return;
+    const auto known = config_.position();
+    update.changed |= position > known;
+    if (position.era > known.era) {
+        configEraSeenAt_ = now;
+        if (known.era > 0)
+            update.restores.push_back({ConfigSource, false, position});
+    }
+    config_.advanceTo(position);
+}
+
+void ViewStore::mergeConfig(ViewUpdate &update, const std::vector<protocol::ConfigEntry> &entries,
+                            bool adopts, std::string_view source)
+{
+    update.changes = adopts ? config_.reconcile(entries, source) : config_.merge(entries, source);
+    update.changed |= !update.changes.empty();
+    if (adopts)
+        update.restores.push_back({ConfigSource, true, config_.position()});
+}
+
+bool ViewStore::isConfigAdoptionDue(TimePoint now) const
+{
+    return !config_.isReconciled() && now - configEraSeenAt_ >= ReconcileDelay;
+}
+
+protocol::HistoryPosition ViewStore::configReadPosition(TimePoint now) const
+{
+    return isConfigAdoptionDue(now) ? protocol::HistoryPosition{} : config_.position();
+}
+
 ViewUpdate ViewStore::applyHosts(const protocol::HostsResponse &reply, TimePoint now)
 {
     if (reply.revision >= hosts_.revision())
         hostsConfirmedAt_ = now;
-    return invalidateIfChanged({reply.hosts && hosts_.replace(reply.revision, *reply.hosts), {}});
+    return invalidateIfChanged(
+            {reply.hosts && hosts_.replace(reply.revision, *reply.hosts), {}, {}});
 }
 
 bool ViewStore::mergeHosts(const protocol::ViewResponse &reply)
@@ -87,6 +137,8 @@
     request.host = host_;
     request.configRevision = config_.revision();
     request.configDigest = config_.digest();
+    request.configEra = protocol::statedEra(config_.position());
+    request.configReconciled = config_.isReconciled();
     request.hostsRevision = std::exchange(needsFullHostList_, false) ? 0 : hosts_.revision();
     request.wantAll =
             digestsDiffer_ && (!lastFullRequest_ || now - *lastFullRequest_ >= FullRequestInterval);
@@ -99,15 +151,16 @@
 ViewUpdate ViewStore::applyReply(const protocol::ViewResponse &reply, TimePoint sentAt,
                                  TimePoint now)
 {
-    const bool isCurrent = reply.configRevision >= config_.revision()
+    const auto configPosition = reply.configPosition();
+    const bool isCurrent = configPosition >= config_.position()
                            && reply.hostsRevision >= hosts_.revision() && reply.ready;
     auto update = mergeEntries(reply, now);
-    update.changes = config_.merge(reply.entries, reply.host);
-    update.changed |= !update.changes.empty() || reply.configRevision > config_.revision();
-    config_.advanceRevision(reply.configRevision);
+    advanceConfig(update, configPosition, now);
+    const bool adopts = reply.configComplete && reply.configReconciled && !config_.isReconciled()
+                        && configPosition.era == config_.position().era;
+    mergeConfig(update, reply.entries, adopts, reply.host);
     update.changed |= mergeHosts(reply);
-    digestsDiffer_ =
-            reply.configRevision == config_.revision() && reply.configDigest != config_.digest();
+    digestsDiffer_ = configPosition == config_.position() && reply.configDigest != config_.digest();
     const bool hasHosts = hosts_.revision() >= reply.hostsRevision;
     if (isCurrent && hasHosts && reply.confirmedAge < MaxReportedAge) {
         const auto confirmedAt = sentAt - reply.confirmedAge;
@@ -126,10 +179,7 @@
 {
     protocol::ViewResponse reply;
     reply.host = host_;
-    reply.configRevision = config_.revision();
-    reply.configDigest = config_.digest();
-    if (request.wantAll || request.configDigest != config_.digest())
-        reply.entries = config_.entriesSince(request.wantAll ? 0 : request.configRevision);
+    addConfig(reply, request);
     reply.hostsRevision = hosts_.revision();
     reply.hostsDigest = hosts_.digest();
     if (hosts_.revision() > request.hostsRevision) {
@@ -148,6 +198,23 @@
     return reply;
 }
 
+void ViewStore::addConfig(protocol::ViewResponse &reply, const protocol::ViewRequest &request) const
+{
+    reply.configRevision = config_.revision();
+    reply.configEra = protocol::statedEra(config_.position());
+    reply.configReconciled = config_.isReconciled();
+    reply.configDigest = config_.digest();
+    const bool isSameEra = request.configEra == reply.configEra;
+    const bool canAdopt = isSameEra && reply.configReconciled && !request.configReconciled;
+    if (!request.wantAll && !canAdopt && request.configDigest == reply.configDigest)
+        return;
+    // Across eras, and while entries of an earlier one are kept, the requester may lack entries
+    // below its position.
+    reply.configComplete = request.wantAll || canAdopt || !isSameEra || !config_.isReconciled();
+    reply.entries = config_.entriesSince(reply.configComplete ? protocol::HistoryPosition{}
+                                                              : request.configPosition());
+}
+
 ViewUpdate ViewStore::addQuarantine(std::uint64_t fingerprint, Duration duration, TimePoint now)
 {
     const auto expiresAt = now + duration;
@@ -156,7 +223,7 @@
         return {};
     const bool isNew = known == nullptr;
     quarantine_.put(fingerprint, {fingerprint, expiresAt}, now);
-    return invalidateIfChanged({isNew, {}});
+    return invalidateIfChanged({isNew, {}, {}});
 }
 
 ViewUpdate ViewStore::addLeaving(const std::string &host, std::uint64_t incarnation,
@@ -170,7 +237,7 @@
             return {};
     }
     leaving_.put(host, {host, incarnation, expiresAt}, now);
-    return invalidateIfChanged({true, {}});
+    return invalidateIfChanged({true, {}, {}});
 }
 
 ViewUpdate ViewStore::addIncarnation(const protocol::EntryIncarnation &entry, TimePoint now)
@@ -183,7 +250,7 @@
     incarnations_.put(entry.host, entry, now,
                       isEpoch && !isOwn ? EpochPropagationTime
                                         : decltype(incarnations_)::PropagationTime);
-    return invalidateIfChanged({true, {}});
+    return invalidateIfChanged({true, {}, {}});
 }
 
 std::uint64_t ViewStore::incarnationVersion(const std::string &host) const
@@ -197,7 +264,7 @@
     const auto isExpired = [now](const auto &entry) { return entry.expiresAt <= now; };
     const bool quarantineChanged = quarantine_.eraseIf(isExpired);
     const bool leavingChanged = leaving_.eraseIf(isExpired);
-    return invalidateIfChanged({quarantineChanged || leavingChanged, {}});
+    return invalidateIfChanged({quarantineChanged || leavingChanged, {}, {}});
 }
 
 ViewStore::Duration ViewStore::confirmedAge(TimePoint now) const
--- a/state/view_store.h
+++ b/state/view_store.h
@@ -9,6 +9,17 @@
 
 namespace persimmon::state {
 
+/// Restore of a service from an older copy, as seen by a store.
+struct RestoreEvent
+{
+    /// What the service serves.
+    std::string source;
+    /// Whether the state of the service was adopted; otherwise its new era was seen for the first
+    /// time.
+    bool isAdopted = false;
+    protocol::HistoryPosition position;
+};
+
 /// Result of a merge.
 struct ViewUpdate
 {
@@ -16,6 +27,7 @@
     bool changed = false;
     /// Accepted and rejected configuration changes.
     std::vector<ConfigChange> changes;
+    std::vector<RestoreEvent> restores;
 };
 
 /// Cluster state of one process: configuration, host list, quarantine list, leaving hosts and entry
@@ -39,13 +51,17 @@
     /// rotation of the gossip table.
     static constexpr std::chrono::seconds EpochPropagationTime{2};
 
+    /// Time after the first sight of a new era in which operators write again what the restored
+    /// service has lost. Then its state is adopted.
+    static constexpr std::chrono::seconds ReconcileDelay{5};
+
     /// Maximum confirmed age in a reply; also stands for a view that was never confirmed.
     static constexpr std::chrono::hours MaxReportedAge{1};
 
     /// @param host name of this host.
     explicit ViewStore(std::string host);
 
-    /// Merges a reply of the configuration service. A reply below the known revision comes from a
+    /// Merges a reply of the configuration service. A reply below the known position comes from a
     /// stale replica and does not confirm the view.
     ViewUpdate applyConfig(const protocol::ConfigResponse &reply, TimePoint now);
 
@@ -86,6 +102,10 @@
     ///         Duration::max() if it never did.
     Duration confirmedAge(TimePoint now) const;
 
+    /// @return the position from which to read the configuration; zero if a complete read is due
+    ///         after a restore.
+    protocol::HistoryPosition configReadPosition(TimePoint now) const;
+
     const ConfigStore &config() const { return config_; }
     std::uint64_t hostsRevision() const { return hosts_.revision(); }
     /// @return the version of the incarnation entry of @p host; 0 if unknown.
@@ -112,6 +132,13 @@
     ViewUpdate mergeEntries(const Message &message, TimePoint now);
     template <typename Message>
     void writeEntries(Message &message, TimePoint now, bool all);
+    /// @param entries entries that are complete if the state of the service is to be adopted.
+    void mergeConfig(ViewUpdate &update, const std::vector<protocol::ConfigEntry> &entries,
+                     bool adopts, std::string_view source);
+    void advanceConfig(ViewUpdate &update, const protocol::HistoryPosition &position,
+                       TimePoint now);
+    void addConfig(protocol::ViewResponse &reply, const protocol::ViewRequest &request) const;
+    bool isConfigAdoptionDue(TimePoint now) const;
     bool mergeHosts(const protocol::ViewResponse &reply);
     ViewUpdate invalidateIfChanged(ViewUpdate update);
     void fillHosts(ClusterView &view);
@@ -125,6 +152,8 @@
     GossipTable<std::uint64_t, Quarantined> quarantine_;
     GossipTable<std::string, Leaving> leaving_;
     GossipTable<std::string, protocol::EntryIncarnation> incarnations_;
+    /// When the current era of the configuration was first seen.
+    TimePoint configEraSeenAt_{};
     std::optional<TimePoint> configConfirmedAt_;
     std::optional<TimePoint> hostsConfirmedAt_;
     std::optional<TimePoint> lastFullRequest_;
--- a/tests/coordination/test_view_agent.cpp
+++ b/tests/coordination/test_view_agent.cpp
@@ -70,11 +70,13 @@
 
     transport::Endpoint address() const { return address_; }
 
-    void setOutDomain(const std::string &domain, std::uint64_t revision)
+    /// @param era era of the service and of the value.
+    void setOutDomain(const std::string &domain, std::uint64_t revision, std::uint64_t era = 1)
     {
         const std::lock_guard lock(mutex_);
         domain_ = domain;
         revision_ = revision;
+        era_ = era;
     }
 
     std::uint64_t reads() const { return reads_; }
@@ -86,6 +88,18 @@
         return std::stoull(target.substr(target.find(name + "=") + name.size() + 1));
     }
 
+    /// @return whether the configuration is newer than the position that a reader states. Readers
+    ///         that know no era state none.
+    bool hasNews(const std::string &target) const
+    {
+        const std::lock_guard lock(mutex_);
+        const auto since = parameter(target, "since");
+        if (target.find("era=") == std::string::npos)
+            return revision_ > since;
+        const protocol::HistoryPosition read{parameter(target, "era"), since};
+        return protocol::HistoryPosition{era_, revision_} > read;
+    }
+
     asio::awaitable<transport::HttpResponse> handleRequest(transport::HttpRequest request)
     {
         ++reads_;
@@ -94,20 +108,20 @@
         const auto deadline = runtime_.clock().now() + wait;
         const bool isConfig = request.target.starts_with("/v1/config");
         while (!down_ && runtime_.clock().now() < deadline
-               && (isConfig ? revision_.load() : HostsRevision) <= since)
+               && (isConfig ? !hasNews(request.target) : HostsRevision <= since))
             co_await runtime_.clock().sleep(5ms);
         if (down_)
             co_return transport::HttpResponse{503, "{}"};
-        auto body = isConfig ? configBody(since) : hostsBody(since);
+        auto body = isConfig ? configBody(hasNews(request.target)) : hostsBody(since);
         co_return transport::HttpResponse{200, body};
     }
 
-    std::string configBody(std::uint64_t since) const
+    std::string configBody(bool hasNews) const
     {
         const std::lock_guard lock(mutex_);
-        protocol::ConfigResponse reply{revision_, {}};
-        if (revision_ > since)
-            reply.entries.push_back({"out/domains", revision_, "[\"" + domain_ + "\"]"});
+        protocol::ConfigResponse reply{revision_, {}, era_, hasNews};
+        if (hasNews)
+            reply.entries.push_back({"out/domains", revision_, "[\"" + domain_ + "\"]", era_});
         return protocol::encodeConfigResponse(reply);
     }
 
@@ -129,7 +143,8 @@
 
     static constexpr std::uint64_t HostsRevision = 3;
 
-    std::atomic<std::uint64_t> revision_ = 1;
+    std::uint64_t revision_ = 1;
+    std::uint64_t era_ = 1;
     std::atomic<std::uint64_t> reads_ = 0;
     std::atomic<bool> down_ = false;
     mutable std::mutex mutex_;
@@ -245,6 +260,21 @@
     CHECK(waitUntil([&] { return cluster.allHaveView(6, "domain-0"); }));
 }
 
+// Guards against a change that is never in force because its revision was assigned before the
+// service was restored from an older copy.
+TEST_CASE("agents take a change that is confirmed after the service was restored")
+{
+    FakeConfigService service;
+    service.setOutDomain("lost", 5);
+    AgentCluster cluster(service, 1);
+    ViewClient client(cluster.runtime(), {hostName(2), agentAddress(2), service.address(), 100ms});
+    client.start();
+    REQUIRE(waitUntil([&] { return cluster.allHaveView(5, "lost"); }));
+    service.setOutDomain("rewritten", 3, 2);
+    CHECK(waitUntil([&] { return cluster.allHaveView(3, "rewritten"); }));
+    CHECK(waitUntil([&] { return client.view()->outDomains.contains("rewritten"); }));
+}
+
 // Guards against a daemon that has no view if its agent or the service is unavailable, and against
 // a revalidation that succeeds without a reply.
 TEST_CASE("a view client polls its agent and falls back to the service")
