Order host lists by era before revision

Callers saw: after the host list was restored from an older copy, hosts that joined or left were not known until the revision exceeded the last one of the lost history.

Cause: HostList ignored every revision that was not above its own, and exchanges sent a list only to a peer with a lower revision, although a restored service assigns revisions again.

Ruled out: taking the list of the new era at once. A host that had left returns with the copy, and one that is missing in it loses its work.

Now positions are ordered by (era, revision). For five seconds after the first sight of a new era, known rows stay, and only rows are taken whose own position is later than what was known before the restore. Then the list of the service replaces all, also at an unchanged revision. A list that was adopted is sent whole to peers that have not adopted, and a store that has adopted ignores lists of those that have not. Deltas do not cross eras. Limits: a host that the restored list drops in these seconds stays until their end, and a service that states no position in its rows has them taken only then.

--- a/coordination/view_refresh.cpp
+++ b/coordination/view_refresh.cpp
@@ -19,10 +19,8 @@
 asio::awaitable<bool> refreshHosts(SharedViewStore &store, ConfigServiceClient &client,
                                    transport::Clock &clock, std::chrono::milliseconds wait)
 {
-    const auto since = store.read([](auto &views) {
-        // The era of the host list is not compared yet.
-        return protocol::HistoryPosition{0, views.hostsRevision()};
-    });
+    const auto since =
+            store.read([&](auto &views) { return views.hostsReadPosition(clock.now()); });
     const auto reply = co_await client.readHosts(since, wait);
     if (!isOk(reply))
         co_return false;
--- a/state/host_list.cpp
+++ b/state/host_list.cpp
@@ -8,6 +8,7 @@
 
 namespace persimmon::state {
 
+using protocol::HistoryPosition;
 using protocol::HostRecord;
 using protocol::HostsDelta;
 
@@ -23,11 +24,65 @@
 
 } // namespace
 
-bool HostList::replace(std::uint64_t revision, const std::vector<HostRecord> &hosts)
+bool HostList::replace(const HistoryPosition &position, const std::vector<HostRecord> &hosts)
 {
-    if (revision <= revision_)
+    if (position <= position_)
         return false;
-    const bool isFirst = revision_ == 0;
+    const bool isFirst = position_.revision == 0;
+    beginEra(position);
+    position_ = position;
+    putAll(position.revision, reconciled_ ? hosts : withKnownRows(hosts));
+    if (isFirst)
+        restartLog();
+    return true;
+}
+
+bool HostList::adopt(const HistoryPosition &position, const std::vector<HostRecord> &hosts)
+{
+    if (position < position_)
+        return false;
+    beginEra(position);
+    position_ = position;
+    reconciled_ = true;
+    putAll(position.revision, hosts);
+    // Peers that follow the log may have kept hosts that are not in it.
+    restartLog();
+    return true;
+}
+
+void HostList::beginEra(const HistoryPosition &position)
+{
+    if (position.era == position_.era)
+        return;
+    earlierEraEnd_ = position_;
+    position_ = position;
+    reconciled_ = position.era == 1;
+    restartLog();
+}
+
+/// @return the rows of a restored service, with the known ones in place of those that it shows
+///         older or lacks. A host that is not known and was not written since has left.
+std::vector<HostRecord> HostList::withKnownRows(const std::vector<HostRecord> &hosts) const
+{
+    std::vector<HostRecord> rows;
+    std::set<std::string_view> listed;
+    for (const auto &host : hosts) {
+        listed.insert(host.name);
+        const auto known = hosts_.find(host.name);
+        if (host.position() > earlierEraEnd_)
+            rows.push_back(host);
+        else if (known != hosts_.end())
+            rows.push_back(known->second);
+    }
+    for (const auto &[name, known] : hosts_) {
+        if (known.era < position_.era && !listed.contains(name))
+            rows.push_back(known);
+    }
+    return rows;
+}
+
+void HostList::putAll(std::uint64_t revision, const std::vector<HostRecord> &hosts)
+{
     std::set<std::string_view> names;
     for (const auto &host : hosts) {
         names.insert(host.name);
@@ -40,17 +95,17 @@
     }
     for (const auto &name : removed)
         erase(revision, name);
-    revision_ = revision;
-    if (isFirst) {
-        log_.clear();
-        logStart_ = revision;
-    }
-    return true;
 }
 
-bool HostList::apply(std::uint64_t revision, const HostsDelta &delta, std::uint64_t digest)
+void HostList::restartLog()
+{
+    log_.clear();
+    logStart_ = position_.revision;
+}
+
+bool HostList::apply(const HistoryPosition &position, const HostsDelta &delta, std::uint64_t digest)
 {
-    if (revision <= revision_)
+    if (position.era != position_.era || position <= position_)
         return false;
     auto expected = digest_;
     std::set<std::string_view> touched;
@@ -68,16 +123,17 @@
     if (expected != digest)
         return false;
     for (const auto &name : delta.removed)
-        erase(revision, name);
+        erase(position.revision, name);
     for (const auto &host : delta.changed)
-        put(revision, host);
-    revision_ = revision;
+        put(position.revision, host);
+    position_ = position;
     return true;
 }
 
-std::optional<HostsDelta> HostList::since(std::uint64_t revision) const
+std::optional<HostsDelta> HostList::since(const HistoryPosition &position) const
 {
-    if (revision < logStart_ || revision == 0)
+    const auto revision = position.revision;
+    if (position.era != position_.era || revision < logStart_ || revision == 0)
         return std::nullopt;
     std::set<std::string_view> names;
     for (auto it = log_.rbegin(); it != log_.rend() && it->revision > revision; ++it)
--- a/state/view_store.cpp
+++ b/state/view_store.cpp
@@ -13,6 +13,7 @@
 }
 
 constexpr const char *ConfigSource = "configuration";
+constexpr const char *HostsSource = "host list";
 
 /// @return the entries of a restored service as written in @p era. Their revisions are below those
 ///         of all writes in that era.
@@ -85,21 +86,59 @@
 
 ViewUpdate ViewStore::applyHosts(const protocol::HostsResponse &reply, TimePoint now)
 {
-    if (reply.revision >= hosts_.revision())
+    ViewUpdate update;
+    if (reply.position() >= hosts_.position())
         hostsConfirmedAt_ = now;
-    return invalidateIfChanged(
-            {reply.hosts && hosts_.replace(reply.revision, *reply.hosts), {}, {}});
+    if (reply.hosts) {
+        const bool adopts = reply.era == hosts_.position().era && isHostsAdoptionDue(now);
+        mergeHostList(update, reply.position(), *reply.hosts, adopts, now);
+    }
+    return invalidateIfChanged(std::move(update));
+}
+
+bool ViewStore::isHostsAdoptionDue(TimePoint now) const
+{
+    return !hosts_.isReconciled() && now - hostsEraSeenAt_ >= ReconcileDelay;
+}
+
+protocol::HistoryPosition ViewStore::hostsReadPosition(TimePoint now) const
+{
+    return isHostsAdoptionDue(now) ? protocol::HistoryPosition{} : hosts_.position();
+}
+
+void ViewStore::mergeHostList(ViewUpdate &update, const protocol::HistoryPosition &position,
+                              const std::vector<protocol::HostRecord> &hosts, bool adopts,
+                              TimePoint now)
+{
+    const auto known = hosts_.position();
+    if (position.era > known.era) {
+        hostsEraSeenAt_ = now;
+        if (known.era > 0)
+            update.restores.push_back({HostsSource, false, position});
+    }
+    const bool merged = adopts ? hosts_.adopt(position, hosts) : hosts_.replace(position, hosts);
+    update.changed |= merged;
+    if (adopts && merged && position.era > 1)
+        update.restores.push_back({HostsSource, true, position});
 }
 
-bool ViewStore::mergeHosts(const protocol::ViewResponse &reply)
+void ViewStore::mergeHosts(ViewUpdate &update, const protocol::ViewResponse &reply, TimePoint now)
 {
-    if (reply.hosts)
-        return hosts_.replace(reply.hostsRevision, *reply.hosts);
-    if (!reply.hostsDelta || reply.hostsRevision <= hosts_.revision())
-        return false;
-    const bool merged = hosts_.apply(reply.hostsRevision, *reply.hostsDelta, reply.hostsDigest);
+    const auto position = reply.hostsPosition();
+    const bool isSameEra = position.era == hosts_.position().era;
+    // The responder may still keep hosts that the service has lost.
+    if (isSameEra && hosts_.isReconciled() && !reply.hostsReconciled)
+        return;
+    if (reply.hosts) {
+        const bool adopts = reply.hostsReconciled && (!isSameEra || !hosts_.isReconciled());
+        mergeHostList(update, position, *reply.hosts, adopts, now);
+        return;
+    }
+    if (!reply.hostsDelta || position <= hosts_.position())
+        return;
+    const bool merged = hosts_.apply(position, *reply.hostsDelta, reply.hostsDigest);
     needsFullHostList_ = !merged;
-    return merged;
+    update.changed |= merged;
 }
 
 template <typename Message>
@@ -139,6 +178,8 @@
     request.configDigest = config_.digest();
     request.configEra = protocol::statedEra(config_.position());
     request.configReconciled = config_.isReconciled();
+    request.hostsEra = protocol::statedEra(hosts_.position());
+    request.hostsReconciled = hosts_.isReconciled();
     request.hostsRevision = std::exchange(needsFullHostList_, false) ? 0 : hosts_.revision();
     request.wantAll =
             digestsDiffer_ && (!lastFullRequest_ || now - *lastFullRequest_ >= FullRequestInterval);
@@ -153,15 +194,15 @@
 {
     const auto configPosition = reply.configPosition();
     const bool isCurrent = configPosition >= config_.position()
-                           && reply.hostsRevision >= hosts_.revision() && reply.ready;
+                           && reply.hostsPosition() >= hosts_.position() && reply.ready;
     auto update = mergeEntries(reply, now);
     advanceConfig(update, configPosition, now);
     const bool adopts = reply.configComplete && reply.configReconciled && !config_.isReconciled()
                         && configPosition.era == config_.position().era;
     mergeConfig(update, reply.entries, adopts, reply.host);
-    update.changed |= mergeHosts(reply);
+    mergeHosts(update, reply, now);
     digestsDiffer_ = configPosition == config_.position() && reply.configDigest != config_.digest();
-    const bool hasHosts = hosts_.revision() >= reply.hostsRevision;
+    const bool hasHosts = hosts_.position() >= reply.hostsPosition();
     if (isCurrent && hasHosts && reply.confirmedAge < MaxReportedAge) {
         const auto confirmedAt = sentAt - reply.confirmedAge;
         configConfirmedAt_ = std::max(configConfirmedAt_.value_or(confirmedAt), confirmedAt);
@@ -180,13 +221,7 @@
     protocol::ViewResponse reply;
     reply.host = host_;
     addConfig(reply, request);
-    reply.hostsRevision = hosts_.revision();
-    reply.hostsDigest = hosts_.digest();
-    if (hosts_.revision() > request.hostsRevision) {
-        reply.hostsDelta = hosts_.since(request.hostsRevision);
-        if (!reply.hostsDelta)
-            reply.hosts = hosts_.all();
-    }
+    addHosts(reply, request);
     writeEntries(reply, now, request.hostsRevision == 0);
     std::erase_if(reply.incarnations, [&](const auto &entry) {
         return std::find(request.incarnations.begin(), request.incarnations.end(), entry)
@@ -215,6 +250,26 @@
                                                               : request.configPosition());
 }
 
+void ViewStore::addHosts(protocol::ViewResponse &reply, const protocol::ViewRequest &request) const
+{
+    reply.hostsRevision = hosts_.revision();
+    reply.hostsEra = protocol::statedEra(hosts_.position());
+    reply.hostsReconciled = hosts_.isReconciled();
+    reply.hostsDigest = hosts_.digest();
+    const auto position = reply.hostsPosition();
+    const bool canAdopt = request.hostsEra == reply.hostsEra && reply.hostsReconciled
+                          && !request.hostsReconciled && position >= request.hostsPosition();
+    if (canAdopt) {
+        reply.hosts = hosts_.all();
+        return;
+    }
+    if (position <= request.hostsPosition())
+        return;
+    reply.hostsDelta = hosts_.since(request.hostsPosition());
+    if (!reply.hostsDelta)
+        reply.hosts = hosts_.all();
+}
+
 ViewUpdate ViewStore::addQuarantine(std::uint64_t fingerprint, Duration duration, TimePoint now)
 {
     const auto expiresAt = now + duration;
@@ -276,7 +331,8 @@
 
 void ViewStore::fillHosts(ClusterView &view)
 {
-    if (lastView_ && lastViewHostsRevision_ == hosts_.revision()) {
+    if (lastView_ && lastViewHosts_ == hosts_.position()
+        && lastViewHostsDigest_ == hosts_.digest()) {
         view.entryHosts = lastView_->entryHosts;
         view.upstreams = lastView_->upstreams;
         return;
@@ -307,7 +363,8 @@
     });
     view_ = view;
     lastView_ = view;
-    lastViewHostsRevision_ = hosts_.revision();
+    lastViewHosts_ = hosts_.position();
+    lastViewHostsDigest_ = hosts_.digest();
     return view_;
 }
 
--- a/state/view_store.h
+++ b/state/view_store.h
@@ -107,6 +107,10 @@
     protocol::HistoryPosition configReadPosition(TimePoint now) const;
 
     const ConfigStore &config() const { return config_; }
+    /// @return the position from which to read the host list; zero if a complete read is due after
+    ///         a restore.
+    protocol::HistoryPosition hostsReadPosition(TimePoint now) const;
+
     std::uint64_t hostsRevision() const { return hosts_.revision(); }
     /// @return the version of the incarnation entry of @p host; 0 if unknown.
     std::uint64_t incarnationVersion(const std::string &host) const;
@@ -139,7 +143,12 @@
                        TimePoint now);
     void addConfig(protocol::ViewResponse &reply, const protocol::ViewRequest &request) const;
     bool isConfigAdoptionDue(TimePoint now) const;
-    bool mergeHosts(const protocol::ViewResponse &reply);
+    void addHosts(protocol::ViewResponse &reply, const protocol::ViewRequest &request) const;
+    bool isHostsAdoptionDue(TimePoint now) const;
+    /// Merges a whole list.
+    void mergeHostList(ViewUpdate &update, const protocol::HistoryPosition &position,
+                       const std::vector<protocol::HostRecord> &hosts, bool adopts, TimePoint now);
+    void mergeHosts(ViewUpdate &update, const protocol::ViewResponse &reply, TimePoint now);
     ViewUpdate invalidateIfChanged(ViewUpdate update);
     void fillHosts(ClusterView &view);
 
@@ -154,6 +163,8 @@
     GossipTable<std::string, protocol::EntryIncarnation> incarnations_;
     /// When the current era of the configuration was first seen.
     TimePoint configEraSeenAt_{};
+    /// When the current era of the host list was first seen.
+    TimePoint hostsEraSeenAt_{};
     std::optional<TimePoint> configConfirmedAt_;
     std::optional<TimePoint> hostsConfirmedAt_;
     std::optional<TimePoint> lastFullRequest_;
@@ -161,7 +172,8 @@
     bool ready_ = false;
     /// Last view built; its host maps are reused while the host list is unchanged.
     std::shared_ptr<const ClusterView> lastView_;
-    std::uint64_t lastViewHostsRevision_ = 0;
+    protocol::HistoryPosition lastViewHosts_;
+    std::uint64_t lastViewHostsDigest_ = 0;
     std::shared_ptr<const ClusterView> view_;
 };
 
