Write out the order of history positions

clang-tidy 14 reports modernize-use-nullptr at a defaulted three-way comparison, so the lint fails on every file that includes protocol/history_position.h since. Suppressing the check was ruled out, as the tree has no suppressions. The comparison is now written out; its result is the same.

Before: clang-tidy reports the header for state/config_store.cpp and others.

--- a/protocol/history_position.h
+++ b/protocol/history_position.h
@@ -15,7 +15,15 @@
     std::uint64_t era = 0;
     std::uint64_t revision = 0;
 
-    auto operator<=>(const HistoryPosition &) const = default;
+    bool operator==(const HistoryPosition &) const = default;
+
+    /// Not defaulted, as clang-tidy 14 takes the zero in a defaulted one for a null pointer.
+    std::strong_ordering operator<=>(const HistoryPosition &other) const
+    {
+        if (era != other.era)
+            return era <=> other.era;
+        return revision <=> other.revision;
+    }
 };
 
 /// @return the era to state in a message; a reader that knows nothing yet states the first one.
