Test a restore of the configuration service over real processes

The state and agent tests show the order of two histories; no test showed that all daemons of a deployment take it up. The new case restores the stand-in's services under six hosts: a lost profile answers while it can be written again, a change confirmed afterwards applies at every entry within 5 s, and a profile that nobody writes again ends.

design.md names the place that still compares bare revisions: frames state no era, so their hint to ask the agent at once misses changes after a restore until the revision exceeds the earlier one. The exchange every 500 ms brings them.

The case was not run on code that compares revisions only.

--- a/tests/system/test_configuration.cpp
+++ b/tests/system/test_configuration.cpp
@@ -63,6 +63,30 @@
     CHECK(state.at("config_reads_peak_per_second").to_number<int>() < 200);
 }
 
+// Guards against a change that is confirmed after the configuration service was restored from an
+// older copy and is not in force on every host, and against one that the copy lacks and that is
+// lost while it could be written again.
+TEST_CASE("a change that is confirmed after a restore applies at every entry")
+{
+    Cluster cluster;
+    setProfile(cluster, "first", makeProfile(1000));
+    CHECK(eventually([&] { return allEntriesAnswerProfile(cluster, "first"); }, 5s));
+    cluster.fault({{"kind", "platform_copy"}});
+    setProfile(cluster, "lost", makeProfile(1000));
+    setProfile(cluster, "abandoned", makeProfile(1000));
+    CHECK(eventually([&] { return allEntriesAnswerProfile(cluster, "abandoned"); }, 5s));
+    cluster.fault({{"kind", "platform_restore"}});
+    std::this_thread::sleep_for(2s);
+    CHECK(allEntriesAnswerProfile(cluster, "lost"));
+    setProfile(cluster, "later", makeProfile(1000));
+    CHECK(eventually([&] { return allEntriesAnswerProfile(cluster, "later"); }, 5s));
+    setProfile(cluster, "lost", makeProfile(900));
+    // After the delay the state of the service is adopted.
+    CHECK(eventually([&] { return !answersProfile(cluster, 1, "abandoned"); }, 15s));
+    CHECK(allEntriesAnswerProfile(cluster, "lost"));
+    CHECK(allEntriesAnswerProfile(cluster, "first"));
+}
+
 // Guards against processes that lose or revert a change while the configuration service is down or
 // stale, also when all processes of a host restart meanwhile.
 TEST_CASE("an outage or an old revision of the configuration service reverts no change")
