--- a/protocol/history_position.h
+++ b/protocol/history_position.h
@@ -6,9 +6,9 @@
 
 namespace persimmon::protocol {
 
-/// Point in the history of the configuration service or of the host list. A service that is
-/// restored from an older copy starts a new era, in which it assigns revisions that an earlier era
-/// has already assigned, so the era is compared first.
+/// Point in the history of the configuration service, of the host list or of the platform's store.
+/// A service that is restored from an older copy starts a new era, in which it assigns revisions
+/// that an earlier era has already assigned, so the era is compared first.
 struct HistoryPosition
 {
     /// From 1; 0 before the first read. A message without an era is of era 1.
--- a/state/store_record.h
+++ b/state/store_record.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "state/decaying_latency_histogram.h"
+#include "protocol/history_position.h"
 
 #include <compare>
 #include <cstdint>
@@ -11,16 +11,8 @@
 
 namespace persimmon::state {
 
-/// Point in the history of the platform's store. A store that is restored from an older copy starts
-/// a new era, in which it assigns revisions that the previous era has already assigned.
-struct StorePosition
-{
-    /// From 1; 0 before the first read.
-    std::uint64_t era = 0;
-    std::uint64_t revision = 0;
-
-    auto operator<=>(const StorePosition &) const = default;
-};
+/// Point in the history of the platform's store.
+using StorePosition = protocol::HistoryPosition;
 
 /// Version that the writer of a value has put into it. Unlike a revision, it does not depend on the
 /// era of the store.
@@ -31,7 +23,14 @@
     /// Increases with each write of one writer.
     std::uint64_t sequence = 0;
 
-    auto operator<=>(const ContentVersion &) const = default;
+    bool operator==(const ContentVersion &) const = default;
+
+    std::strong_ordering operator<=>(const ContentVersion &other) const
+    {
+        if (writerStart != other.writerStart)
+            return writerStart <=> other.writerStart;
+        return sequence <=> other.sequence;
+    }
 };
 
 /// The write that a deletion has removed.
