--- a/tests/state/test_entry_membership.cpp
+++ b/tests/state/test_entry_membership.cpp
@@ -93,6 +93,29 @@
     }
 }
 
+// Guards against a live host that is taken for dead, and not listed to callers, after a peer that
+// has not heard of its restart relayed the heartbeat of its earlier incarnation.
+TEST_CASE("a heartbeat of an earlier incarnation does not hide those of a restarted host")
+{
+    EntryMembership membership(makeMember("a"));
+    auto member = makeMember("b");
+    member.heartbeat = 60;
+    membership.merge({member}, Start);
+    member.incarnation = 2;
+    member.heartbeat = 1;
+    member.phase = EntryPhase::Starting;
+    membership.merge({member}, Start + seconds(1));
+    membership.merge(std::vector<MemberHeartbeat>{{hostId("b"), 61, 0}}, Start + seconds(1));
+    member.phase = EntryPhase::Ready;
+    for (std::uint64_t second = 2; second <= 8; ++second) {
+        member.heartbeat = second;
+        membership.merge({member}, Start + seconds(second));
+        membership.expire(Start + seconds(second));
+    }
+    REQUIRE(membership.liveCount() == 2);
+    CHECK(membership.liveMembers().back().phase == EntryPhase::Ready);
+}
+
 TEST_CASE("all hosts select the same active hosts, and more of them under higher load")
 {
     // Load pattern: many hosts with little load, then a burst. Guards against two hosts that use
--- a/tests/state/test_record_mirror_restore.cpp
+++ b/tests/state/test_record_mirror_restore.cpp
@@ -20,3 +20,20 @@
     MESSAGE("evacuations for which answers of peers were not checked in "
             << Schedules << " schedules: " << unchecked);
 }
+
+// Guards against an upstream that has left and is in use again because a host started between the
+// restore of the store and the reconciliation, and read the store before its peers.
+TEST_CASE("a copy that starts after a restore does not show what its peers know to have left")
+{
+    RecordMirror copy;
+    copy.applySnapshot({{"config", 9, "9"}, {"server", 50, "5"}}, {1, 60});
+    copy.reconcile();
+    copy.apply({{"server", 63, std::nullopt}}, {1, 64});
+    copy.applySnapshot({{"config", 9, "9"}, {"server", 50, "5"}}, {2, 62});
+    RecordMirror fresh;
+    fresh.applySnapshot({{"config", 9, "9"}, {"server", 50, "5"}}, {2, 62});
+    copy.apply({{"config", 63, "10"}}, {2, 63});
+    fresh.apply(copy.deltaSince(fresh.position()));
+    CHECK(fresh.position() == copy.position());
+    CHECK(fresh.records() == copy.records());
+}
