--- a/tests/coordination/test_record_propagation.cpp
+++ b/tests/coordination/test_record_propagation.cpp
@@ -186,8 +186,6 @@
         co_return std::chrono::round<milliseconds>(runtime_.clock().now() - start);
     }
 
-    SilentStore &store() { return store_; }
-
     /// @return the time until a change that follows the silence of @p silentHosts is complete.
     asio::awaitable<milliseconds> publishDuringSilence(std::set<std::string> silentHosts)
     {
@@ -223,6 +221,21 @@
     std::vector<std::unique_ptr<ReplicationHost>> hosts_;
 };
 
+/// @return the times until three changes have reached all hosts, each after the store fell silent.
+std::vector<milliseconds> measureChanges(const std::set<std::string> &silentHosts)
+{
+    constexpr seconds StartTime{4};
+    constexpr int Changes = 3;
+    ReplicationCluster cluster;
+    std::vector<milliseconds> times;
+    cluster.run([&]() -> asio::awaitable<void> {
+        co_await cluster.sleep(StartTime);
+        for (int change = 0; change < Changes; ++change)
+            times.push_back(co_await cluster.publishDuringSilence(silentHosts));
+    });
+    return times;
+}
+
 } // namespace
 
 // Guards against hosts that hold an old configuration while the store is silent towards the hosts
@@ -234,14 +247,7 @@
         silentHosts.insert(ReplicationCluster::controlAddress(1, host));
         silentHosts.insert(ReplicationCluster::controlAddress(2, host));
     }
-    ReplicationCluster cluster;
-    std::vector<milliseconds> times;
-    cluster.run([&]() -> asio::awaitable<void> {
-        co_await cluster.sleep(seconds(4));
-        for (int round = 0; round < 3; ++round)
-            times.push_back(co_await cluster.publishDuringSilence(silentHosts));
-    });
-    for (const auto &time : times)
+    for (const auto &time : measureChanges(silentHosts))
         CHECK(time <= SmallSystemApplyTime);
 }
 
@@ -255,13 +261,6 @@
         for (int host = 0; host < SilentPerRegion; ++host)
             silentHosts.insert(ReplicationCluster::controlAddress(region, host));
     }
-    ReplicationCluster cluster;
-    std::vector<milliseconds> times;
-    cluster.run([&]() -> asio::awaitable<void> {
-        co_await cluster.sleep(seconds(4));
-        for (int round = 0; round < 3; ++round)
-            times.push_back(co_await cluster.publishDuringSilence(silentHosts));
-    });
-    for (const auto &time : times)
+    for (const auto &time : measureChanges(silentHosts))
         CHECK(time <= LargeSystemApplyTime);
 }
