Log the fingerprint, attempts and lost upstreams of each request

Cause: the lines of a request did not tell whether requests under which upstreams ended were the same request, how often one client attempt was sent, or to how many upstreams it was sent when they ended, so that the hypotheses on repeated crashes could not be told apart.

Change: "request completed" states the fingerprint (method, host, target and body), the attempts at all services and the upstreams whose connection ended after the request was sent. The fingerprint is the same on all hosts. The field attempts of single requests now has the same meaning as that of gathered ones.

--- a/forward/forward_request.cpp
+++ b/forward/forward_request.cpp
@@ -1,5 +1,7 @@
 #include "forward/forward_request.h"
 
+#include "state/fingerprint.h"
+
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 
@@ -82,6 +84,8 @@
     request.host = std::string(message[http::field::host]);
     request.id = std::string(message[names.requestId]);
     request.body = message.body();
+    request.fingerprint =
+            state::requestFingerprint(request.method, request.host, request.target, request.body);
     request.receivedAt = receivedAt;
     request.callerTimeout = parseMilliseconds(toStringView(message[names.timeLeft]));
     request.head = request.method + " " + request.target + " HTTP/1.1\r\n";
--- a/forward/forward_request.h
+++ b/forward/forward_request.h
@@ -8,6 +8,7 @@
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
@@ -26,6 +27,8 @@
     /// Request line and end-to-end header fields, without the fields that differ between attempts.
     std::string head;
     std::string body;
+    /// The same for all requests with this method, host, target and body, on every host.
+    std::uint64_t fingerprint = 0;
     /// How long the caller waits for the response, if stated in the request.
     std::optional<std::chrono::milliseconds> callerTimeout;
     transport::TimePoint receivedAt;
--- a/forward/request_forwarder.cpp
+++ b/forward/request_forwarder.cpp
@@ -66,6 +66,16 @@
     return text;
 }
 
+/// @return the upstreams that ended while they executed the request, for log messages.
+std::string describeLostAttempts(const AttemptTrace &trace)
+{
+    constexpr std::size_t MaxAttempts = 8;
+    std::string text;
+    for (std::size_t i = 0; i < trace.lost.size() && i < MaxAttempts; ++i)
+        text.append(i == 0 ? "" : " ").append(trace.lost[i].upstream);
+    return text;
+}
+
 } // namespace
 
 RequestForwarder::RequestForwarder(transport::Runtime &runtime, transport::Metrics &metrics,
@@ -112,7 +122,7 @@
                    deadline = context.deadline,
                    idempotent = context.route->idempotent](const state::StartAttempt &action) {
         trace->regions.insert(options_.regionOf(action.upstream.failureDomain));
-        return runAttempt(request, action, deadline, idempotent);
+        return runAttempt(request, trace, action, deadline, idempotent);
     };
     job.cancel = [this](const state::CancelAttempt &action) {
         client_.cancel({action.id, action.attempt});
@@ -122,8 +132,8 @@
 
 asio::awaitable<state::AttemptResult>
 RequestForwarder::runAttempt(std::shared_ptr<const ForwardRequest> request,
-                             state::StartAttempt action, transport::TimePoint deadline,
-                             bool idempotent)
+                             std::shared_ptr<AttemptTrace> trace, state::StartAttempt action,
+                             transport::TimePoint deadline, bool idempotent)
 {
     const std::string kind(enumName(state::AttemptKindNames, action.kind));
     const auto &upstream = action.upstream;
@@ -136,7 +146,10 @@
     }
     const AttemptKey key{action.id, action.attempt};
     const auto startedAt = runtime_.clock().now();
+    ++trace->attempts;
     auto result = co_await client_.execute(key, upstream, request, deadline, idempotent);
+    if (result.end == state::AttemptEnd::Lost)
+        trace->lost.push_back({upstream.service, upstream.name});
     const bool isExpected =
             result.end == state::AttemptEnd::Answered || result.end == state::AttemptEnd::Cancelled;
     if (!isExpected) {
@@ -190,9 +203,7 @@
         CallerResponse response{reply.answer->status, reply.answer->headers, reply.answer->body};
         recordResult(context, response,
                      reply.outcome == protocol::SubOutcome::Done ? "done" : "passed_on",
-                     {{"service", service},
-                      {"upstream", reply.upstream},
-                      {"attempts", std::to_string(reply.executions)}});
+                     {{"service", service}, {"upstream", reply.upstream}});
         return response;
     }
     const std::string reason(enumName(protocol::SubErrorNames, reply.error));
@@ -341,14 +352,18 @@
             .record(time);
     std::vector<transport::LogField> all{
             {"request", context.request->id},
+            {"fingerprint", state::formatFingerprint(context.request->fingerprint)},
             {"route", route},
             {"config", std::to_string(context.routes ? context.routes->config().version : 0)},
             {"home_regions", homes},
             {"upstream_regions", joinNames(context.trace->regions)},
+            {"attempts", std::to_string(context.trace->attempts)},
             {"outcome", outcome},
             {"status", std::to_string(response.status)},
             {"ms", formatMilliseconds(time)}};
     all.insert(all.end(), fields.begin(), fields.end());
+    if (!context.trace->lost.empty())
+        all.push_back({"lost_upstreams", describeLostAttempts(*context.trace)});
     transport::log(transport::LogLevel::Info, Part, "request completed", all);
 }
 
--- a/forward/request_forwarder.h
+++ b/forward/request_forwarder.h
@@ -1,11 +1,11 @@
 #pragma once
 
+#include "forward/attempt_trace.h"
 #include "forward/service_executors.h"
 
 #include <cstdint>
 #include <functional>
 #include <memory>
-#include <set>
 #include <string>
 
 namespace persimmon::forward {
@@ -53,11 +53,6 @@
                                                  std::shared_ptr<CallerMonitor> monitor);
 
 private:
-    /// Regions of the upstreams to which a request was sent.
-    struct AttemptTrace
-    {
-        std::set<std::string> regions;
-    };
     /// State of one request, including the version of the configuration that it started with.
     struct RequestContext
     {
@@ -81,8 +76,8 @@
     boost::asio::awaitable<CallerResponse> serveGather(RequestContext context);
     dispatch::ServiceJob makeJob(const RequestContext &context);
     boost::asio::awaitable<state::AttemptResult>
-    runAttempt(std::shared_ptr<const ForwardRequest> request, state::StartAttempt action,
-               transport::TimePoint deadline, bool idempotent);
+    runAttempt(std::shared_ptr<const ForwardRequest> request, std::shared_ptr<AttemptTrace> trace,
+               state::StartAttempt action, transport::TimePoint deadline, bool idempotent);
     CallerResponse refuse(const RequestContext &context, const std::string &reason,
                           transport::Duration wait);
     CallerResponse fail(const RequestContext &context, int status, const std::string &reason);
