Add failing tests for requests that crash upstreams

What callers see: one request ends upstream after upstream, and the requests beside it fail with it. Five hosts, upstreams that end under one target and come back after 300 ms.

--- a/tests/support/raw_http.cpp
+++ b/tests/support/raw_http.cpp
@@ -12,6 +12,9 @@
 
 namespace {
 
+constexpr int Backlog = 64;
+constexpr std::chrono::milliseconds RestartPollInterval{5};
+
 sockaddr_in loopback(int port)
 {
     sockaddr_in address{};
@@ -21,6 +24,18 @@
     return address;
 }
 
+/// Binds a socket that does not listen yet, so that connections to its port are refused.
+int bindSocket(int port)
+{
+    const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+    const int reuse = 1;
+    ::setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof reuse);
+    auto address = loopback(port);
+    if (::bind(socket, reinterpret_cast<sockaddr *>(&address), sizeof address) != 0)
+        std::abort();
+    return socket;
+}
+
 /// @return whether @p text contains a complete message including its body.
 bool isComplete(const std::string &text)
 {
@@ -56,11 +71,9 @@
 
 RawUpstream::RawUpstream(Handler handler) : handler_(std::move(handler))
 {
-    listener_ = ::socket(AF_INET, SOCK_STREAM, 0);
-    auto address = loopback(0);
-    if (::bind(listener_, reinterpret_cast<sockaddr *>(&address), sizeof address) != 0)
-        std::abort();
-    ::listen(listener_, 64);
+    listener_ = bindSocket(0);
+    ::listen(listener_, Backlog);
+    sockaddr_in address{};
     socklen_t size = sizeof address;
     ::getsockname(listener_, reinterpret_cast<sockaddr *>(&address), &size);
     port_ = ntohs(address.sin_port);
@@ -104,6 +117,7 @@
 void RawUpstream::accept()
 {
     while (!stopping_) {
+        restart();
         const int socket = ::accept(listener_, nullptr, nullptr);
         if (socket < 0)
             continue;
@@ -113,6 +127,34 @@
     }
 }
 
+void RawUpstream::crash(std::chrono::milliseconds downtime)
+{
+    const std::lock_guard lock(mutex_);
+    const auto now = std::chrono::steady_clock::now();
+    if (now < restartAt_)
+        return;
+    restartAt_ = now + downtime;
+    ::shutdown(listener_, SHUT_RDWR);
+    for (const auto socket : sockets_)
+        ::shutdown(socket, SHUT_RDWR);
+}
+
+void RawUpstream::restart()
+{
+    std::chrono::steady_clock::time_point at;
+    {
+        const std::lock_guard lock(mutex_);
+        at = restartAt_;
+    }
+    if (std::chrono::steady_clock::now() >= at)
+        return;
+    ::close(listener_);
+    listener_ = bindSocket(port_);
+    while (!stopping_ && std::chrono::steady_clock::now() < at)
+        std::this_thread::sleep_for(RestartPollInterval);
+    ::listen(listener_, Backlog);
+}
+
 void RawUpstream::serve(int socket)
 {
     while (!stopping_) {
@@ -124,6 +166,10 @@
             requests_.push_back(request);
         }
         const auto response = handler_(request);
+        if (response.downtime.count() > 0) {
+            crash(response.downtime);
+            break;
+        }
         const auto end = std::chrono::steady_clock::now() + response.delay;
         while (!stopping_ && std::chrono::steady_clock::now() < end) {
             pollfd event{socket, POLLRDHUP, 0};
--- a/tests/support/raw_http.h
+++ b/tests/support/raw_http.h
@@ -22,6 +22,8 @@
     std::string endless = {};
     /// Whether to reset the connection after sending.
     bool reset = false;
+    /// If positive, the upstream ends in place of sending, and starts again after this time.
+    std::chrono::milliseconds downtime{0};
 };
 
 /// Upstream that sends arbitrary bytes as responses. Uses one thread per connection.
@@ -51,13 +53,16 @@
 
 private:
     void accept();
+    /// Closes all connections and refuses new ones for @p downtime.
+    void crash(std::chrono::milliseconds downtime);
+    void restart();
     void serve(int socket);
     /// Closes a socket such that the peer receives a reset.
     void resetConnection(int socket);
     void sendEndlessly(int socket, const std::string &bytes);
 
     Handler handler_;
-    int listener_ = -1;
+    std::atomic<int> listener_ = -1;
     int port_ = 0;
     std::atomic<bool> stopping_ = false;
     std::atomic<int> abandonedCount_ = 0;
@@ -65,6 +70,8 @@
     mutable std::mutex mutex_;
     std::vector<std::string> requests_;
     std::vector<int> sockets_;
+    /// When it starts again after a crash.
+    std::chrono::steady_clock::time_point restartAt_{};
     std::vector<std::thread> threads_;
     std::thread acceptor_;
 };
--- a/tests/system/platform_cluster.cpp
+++ b/tests/system/platform_cluster.cpp
@@ -144,7 +144,9 @@
  "goal_ms":500,"priority":1,"gather":["shard-a","shard-b"],"max_attempts":2,"top_k":2,
  "min_fraction":1.0},
 {"name":"p","host":"h.example","prefix":"/pay/","kind":"non_idempotent","deadline_ms":2000,
- "goal_ms":500,"priority":0,"service":"pay","max_attempts":2}],"services":[],
+ "goal_ms":500,"priority":0,"service":"pay","max_attempts":2},
+{"name":"o","host":"h.example","prefix":"/one/","kind":"idempotent","deadline_ms":2000,
+ "goal_ms":500,"priority":1,"service":"pay","max_attempts":2}],"services":[],
 "limits":{"max_header_bytes":16384,"max_body_bytes":262144,"header_ms":3000,"idle_ms":15000}})");
 }
 
