Stop sending a request that has crashed three upstreams

What callers see: one request ends upstream after upstream at every host, and the requests beside it are lost with them.

Cause: on the platform's path nothing outlives a client attempt. Crash tracking was switched off there, each client attempt and each host began anew, and max_attempts bounds the upstreams of each shard only, so that one gathered request ended all upstreams of all its shards.

Ruled out: the CrashTracker of the own interface. It counts for each service and dispatcher alone, counts requests beside the crashing one, and forgets at any answer of the service.

Change: each host reports the upstreams (name and incarnation) that a request lost without an answer of their service. Reports are gossiped as a set, so that their number does not depend on deliveries; a host that starts gets them all. Three crashed incarnations on all hosts together quarantine the fingerprint for an hour: 503 at once, and no further attempt of requests that are under way. An answer clears the reports of its service; losses of one incarnation count once, so that an upstream that only closes connections quarantines nothing. Within one request, after three losses one attempt at a time is sent as a trial, and none after a lost trial.

The test now registers a new incarnation at each restart, as upstreams do, and adds concurrent requests.

--- a/coordination/peer_exchange.cpp
+++ b/coordination/peer_exchange.cpp
@@ -41,11 +41,13 @@
 } // namespace
 
 PeerExchange::PeerExchange(transport::Runtime &runtime, state::EntryMembership &membership,
-                           RecordFollower &follower, std::function<void()> onMembershipChange)
+                           RecordFollower &follower, std::function<void()> onMembershipChange,
+                           SharedState sharedState)
     : runtime_(runtime),
       membership_(membership),
       follower_(follower),
       onMembershipChange_(std::move(onMembershipChange)),
+      sharedState_(std::move(sharedState)),
       server_(runtime,
               [this](transport::HttpRequest request) { return handleRequest(std::move(request)); }),
       gossip_(membership, std::random_device{}())
@@ -189,6 +191,7 @@
     }
     auto query = gossip_.makeRequest(peer);
     addMirrorState(query);
+    sharedState_.addTo(query, false);
     query.wantsRecords = follower_.needsPeerRecords() && mayRequestRecords(peer);
     transport::HttpRequest request("POST", ExchangeTarget, encodePeerMessage(query));
     const auto response = co_await state->connection->send(std::move(request), ExchangeTimeout);
@@ -234,6 +237,7 @@
     applyMessage(message);
     auto reply = gossip_.makeReply(message);
     addMirrorState(reply);
+    sharedState_.addTo(reply, message.wantsMembers);
     if (message.wantsRecords && reply.position > message.position)
         reply.delta = follower_.mirror().deltaSince(message.position);
     co_return transport::HttpResponse(200, encodePeerMessage(reply));
@@ -246,6 +250,7 @@
                            {{"live", std::to_string(membership_.liveCount())}});
         onMembershipChange_();
     }
+    sharedState_.merge(message);
     if (message.delta)
         follower_.applyPeerDelta(*message.delta);
     follower_.observePeerPosition(message.position, message.isReconciled);
--- a/coordination/peer_exchange.h
+++ b/coordination/peer_exchange.h
@@ -13,6 +13,17 @@
 
 namespace persimmon::coordination {
 
+/// Further state that hosts exchange with each message.
+struct SharedState
+{
+    /// Adds the state of this host to a message.
+    /// @param all whether the receiver is starting and needs all of it.
+    std::function<void(PeerMessage &message, bool all)> addTo = [](PeerMessage & /*message*/,
+                                                                   bool /*all*/) {};
+    /// Merges the state of a peer.
+    std::function<void(const PeerMessage &message)> merge = [](const PeerMessage & /*message*/) {};
+};
+
 /// Exchanges PeerGossip messages with other hosts over HTTP, together with store records that a
 /// host lacks. For single-threaded runtimes only; must outlive the handlers of the runtime.
 class PeerExchange
@@ -23,7 +34,8 @@
 
     /// @param onMembershipChange called after a change of the set of live hosts or their phases.
     PeerExchange(transport::Runtime &runtime, state::EntryMembership &membership,
-                 RecordFollower &follower, std::function<void()> onMembershipChange);
+                 RecordFollower &follower, std::function<void()> onMembershipChange,
+                 SharedState sharedState = {});
 
     /// @return the bound endpoint, or BindFailed.
     transport::TransportResult<transport::Endpoint> listen(const transport::Endpoint &endpoint);
@@ -78,6 +90,7 @@
     state::EntryMembership &membership_;
     RecordFollower &follower_;
     const std::function<void()> onMembershipChange_;
+    const SharedState sharedState_;
     transport::HttpServer server_;
     PeerGossip gossip_;
     transport::TimePoint startedAt_{};
--- a/coordination/peer_message.cpp
+++ b/coordination/peer_message.cpp
@@ -66,6 +66,30 @@
     return heartbeats;
 }
 
+std::vector<state::CrashReport> readCrashReports(const json::array &numbers)
+{
+    constexpr std::size_t Columns = 5;
+    std::vector<state::CrashReport> reports;
+    for (std::size_t i = 0; i + Columns <= numbers.size(); i += Columns) {
+        reports.push_back({numbers[i].to_number<std::uint64_t>(),
+                           numbers[i + 1].to_number<std::uint64_t>(),
+                           numbers[i + 2].to_number<std::uint64_t>(),
+                           numbers[i + 3].to_number<std::uint32_t>() != 0,
+                           std::chrono::seconds(numbers[i + 4].to_number<std::uint32_t>())});
+    }
+    return reports;
+}
+
+json::array writeCrashReports(const std::vector<state::CrashReport> &reports)
+{
+    json::array numbers;
+    for (const auto &report : reports) {
+        numbers.insert(numbers.end(), {report.fingerprint, report.upstream, report.service,
+                                       report.cleared ? 1 : 0, report.timeLeft.count()});
+    }
+    return numbers;
+}
+
 state::DeletedWrite readDeletedWrite(const json::array &columns)
 {
     state::DeletedWrite write;
@@ -140,6 +164,8 @@
         object["wants_rows"] = true;
     if (message.wantsRecords)
         object["wants_records"] = true;
+    if (!message.crashReports.empty())
+        object["crashes"] = writeCrashReports(message.crashReports);
     if (message.delta) {
         object["snapshot"] = message.delta->isSnapshot;
         json::array records;
@@ -165,6 +191,8 @@
         message.heartbeats = readHeartbeats(object.at("beats").as_array());
         for (const auto &member : object.at("rows").as_array())
             message.members.push_back(readMember(member.as_array()));
+        if (const auto *crashes = object.if_contains("crashes"))
+            message.crashReports = readCrashReports(crashes->as_array());
         if (const auto *records = object.if_contains("records")) {
             auto &delta = message.delta.emplace();
             delta.asOf = message.position;
--- a/coordination/peer_message.h
+++ b/coordination/peer_message.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/coordination_error.h"
+#include "state/crash_evidence.h"
 #include "state/entry_membership.h"
 #include "state/record_mirror.h"
 
@@ -27,6 +28,8 @@
     bool wantsMembers = false;
     /// Whether the sender requests the records after its position.
     bool wantsRecords = false;
+    /// Upstreams that crashed during requests.
+    std::vector<state::CrashReport> crashReports;
     /// Records that the requester lacks; on the wire, their position is that of the message.
     std::optional<state::RecordDelta> delta;
 
--- a/forward/attempt_trace.h
+++ b/forward/attempt_trace.h
@@ -1,27 +1,32 @@
 #pragma once
 
+#include "state/crash_guard.h"
+#include "transport/transport.h"
+
 #include <cstdint>
+#include <memory>
 #include <set>
 #include <string>
-#include <vector>
 
 namespace persimmon::forward {
 
-/// An attempt whose connection ended after the request was sent, so that the upstream may have
-/// crashed.
-struct LostAttempt
-{
-    std::string service;
-    std::string upstream;
-};
-
 /// The attempts of one caller request at all services that it needs.
 struct AttemptTrace
 {
     /// Regions of the upstreams to which the request was sent.
     std::set<std::string> regions;
     std::uint32_t attempts = 0;
-    std::vector<LostAttempt> lost;
+    state::CrashGuard guard;
+    /// Attempts that wait until a trial has ended.
+    std::set<std::shared_ptr<transport::AsyncAutoResetEvent>> waiting;
+    /// Whether the caller was answered or has left.
+    bool finished = false;
+
+    void wakeWaiting() const
+    {
+        for (const auto &event : waiting)
+            event->notify();
+    }
 };
 
 } // namespace persimmon::forward
--- a/forward/forward.h
+++ b/forward/forward.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "forward/attempt_trace.h"
 #include "forward/forward_request.h"
 #include "forward/forwarding_client.h"
 #include "forward/frontend_server.h"
--- a/forward/request_forwarder.cpp
+++ b/forward/request_forwarder.cpp
@@ -66,25 +66,26 @@
     return text;
 }
 
-/// @return the upstreams that ended while they executed the request, for log messages.
-std::string describeLostAttempts(const AttemptTrace &trace)
+/// @return the names of the first few upstreams, for log messages.
+std::string describeUpstreams(const std::vector<state::LostUpstream> &upstreams)
 {
-    constexpr std::size_t MaxAttempts = 8;
-    std::string text;
-    for (std::size_t i = 0; i < trace.lost.size() && i < MaxAttempts; ++i)
-        text.append(i == 0 ? "" : " ").append(trace.lost[i].upstream);
-    return text;
+    constexpr std::size_t MaxUpstreams = 8;
+    std::vector<std::string> names;
+    for (std::size_t i = 0; i < upstreams.size() && i < MaxUpstreams; ++i)
+        names.push_back(upstreams[i].name);
+    return joinNames(names);
 }
 
 } // namespace
 
 RequestForwarder::RequestForwarder(transport::Runtime &runtime, transport::Metrics &metrics,
                                    ForwardingClient &client, ServiceExecutors &services,
-                                   ForwarderOptions options)
+                                   state::CrashEvidence &crashes, ForwarderOptions options)
     : runtime_(runtime),
       metrics_(metrics),
       client_(client),
       services_(services),
+      crashes_(crashes),
       options_(std::move(options))
 {
 }
@@ -103,9 +104,66 @@
     if (context.request->callerTimeout)
         time = std::min<transport::Duration>(time, *context.request->callerTimeout);
     context.deadline = context.request->receivedAt + time;
+    const auto quarantine =
+            crashes_.quarantineTimeLeft(context.request->fingerprint, runtime_.clock().now());
+    if (quarantine)
+        co_return refuse(context, "quarantined", *quarantine);
+    const auto served = context.request;
+    const auto trace = context.trace;
+    CallerResponse response;
     if (context.route->isGather())
-        co_return co_await serveGather(std::move(context));
-    co_return co_await serveSingle(std::move(context));
+        response = co_await serveGather(std::move(context));
+    else
+        response = co_await serveSingle(std::move(context));
+    finishAttempts(*served, *trace);
+    co_return response;
+}
+
+asio::awaitable<bool>
+RequestForwarder::awaitPermission(std::shared_ptr<const ForwardRequest> request,
+                                  std::shared_ptr<AttemptTrace> trace, std::string service,
+                                  transport::TimePoint deadline)
+{
+    const auto event =
+            std::make_shared<transport::AsyncAutoResetEvent>(co_await asio::this_coro::executor);
+    while (!trace->finished && runtime_.clock().now() < deadline) {
+        const auto known = crashes_.crashCount(request->fingerprint);
+        const auto permission = trace->guard.decide(service, known);
+        if (permission != state::AttemptPermission::Wait)
+            co_return permission == state::AttemptPermission::Granted;
+        trace->waiting.insert(event);
+        co_await event->waitUntil(deadline);
+        trace->waiting.erase(event);
+    }
+    co_return false;
+}
+
+void RequestForwarder::finishAttempts(const ForwardRequest &request, AttemptTrace &trace)
+{
+    trace.finished = true;
+    trace.wakeWaiting();
+    const auto now = runtime_.clock().now();
+    for (const auto &service : trace.guard.answeredServices())
+        crashes_.onAnswered(request.fingerprint, service, now);
+    reportCrashes(request, trace.guard.unansweredLosses());
+}
+
+void RequestForwarder::reportCrashes(const ForwardRequest &request,
+                                     const std::vector<state::LostUpstream> &upstreams)
+{
+    if (upstreams.empty())
+        return;
+    const bool quarantined =
+            crashes_.onLost(request.fingerprint, upstreams, runtime_.clock().now());
+    transport::logWarning(Part,
+                          quarantined ? "quarantined a request that crashes upstreams"
+                                      : "upstreams ended during a request",
+                          {{"request", request.id},
+                           {"fingerprint", state::formatFingerprint(request.fingerprint)},
+                           {"upstreams", describeUpstreams(upstreams)},
+                           {"crashes", std::to_string(crashes_.crashCount(request.fingerprint))}});
+    if (quarantined)
+        options_.onQuarantined();
 }
 
 dispatch::ServiceJob RequestForwarder::makeJob(const RequestContext &context)
@@ -145,11 +203,22 @@
                             {"upstream", upstream.name}});
     }
     const AttemptKey key{action.id, action.attempt};
+    if (!co_await awaitPermission(request, trace, upstream.service, deadline)) {
+        transport::logInfo(Part, "attempt withheld",
+                           {{"request", request->id},
+                            {"fingerprint", state::formatFingerprint(request->fingerprint)},
+                            {"service", upstream.service},
+                            {"kind", kind}});
+        state::AttemptResult withheld;
+        withheld.end = state::AttemptEnd::Withheld;
+        withheld.written = false;
+        co_return withheld;
+    }
     const auto startedAt = runtime_.clock().now();
     ++trace->attempts;
+    trace->guard.onStarted(upstream.service);
     auto result = co_await client_.execute(key, upstream, request, deadline, idempotent);
-    if (result.end == state::AttemptEnd::Lost)
-        trace->lost.push_back({upstream.service, upstream.name});
+    onAttemptEnded(*request, *trace, upstream, result.end);
     const bool isExpected =
             result.end == state::AttemptEnd::Answered || result.end == state::AttemptEnd::Cancelled;
     if (!isExpected) {
@@ -164,6 +233,23 @@
     co_return result;
 }
 
+void RequestForwarder::onAttemptEnded(const ForwardRequest &request, AttemptTrace &trace,
+                                      const protocol::HostRecord &upstream, state::AttemptEnd end)
+{
+    const state::LostUpstream lost{upstream.service, upstream.name,
+                                   options_.incarnationOf(upstream.name)};
+    if (end == state::AttemptEnd::Lost)
+        trace.guard.onLost(lost);
+    else if (end == state::AttemptEnd::Answered)
+        trace.guard.onAnswered(upstream.service);
+    else
+        trace.guard.onEnded(upstream.service);
+    trace.wakeWaiting();
+    // The other losses were reported when the caller was answered.
+    if (trace.finished && end == state::AttemptEnd::Lost)
+        reportCrashes(request, {lost});
+}
+
 asio::awaitable<CallerResponse> RequestForwarder::serveSingle(RequestContext context)
 {
     struct PendingReply
@@ -362,8 +448,11 @@
             {"status", std::to_string(response.status)},
             {"ms", formatMilliseconds(time)}};
     all.insert(all.end(), fields.begin(), fields.end());
-    if (!context.trace->lost.empty())
-        all.push_back({"lost_upstreams", describeLostAttempts(*context.trace)});
+    const auto &lost = context.trace->guard.lostUpstreams();
+    if (!lost.empty()) {
+        all.push_back({"lost", std::to_string(lost.size())});
+        all.push_back({"lost_upstreams", describeUpstreams(lost)});
+    }
     transport::log(transport::LogLevel::Info, Part, "request completed", all);
 }
 
--- a/host/host_daemon.cpp
+++ b/host/host_daemon.cpp
@@ -53,18 +53,6 @@
     return member;
 }
 
-forward::ForwarderOptions makeForwarderOptions(const HostOptions &options, const HostHooks &hooks)
-{
-    forward::ForwarderOptions result;
-    result.names = hooks.headerNames;
-    result.extraLoadTokens = options.retryRatio;
-    result.regionOf = [regions = options.regionByFailureDomain](const std::string &domain) {
-        const auto found = regions.find(domain);
-        return found == regions.end() ? std::string() : found->second;
-    };
-    return result;
-}
-
 } // namespace
 
 HostDaemon::HostDaemon(transport::Runtime &runtime, transport::Metrics &metrics,
@@ -79,8 +67,7 @@
       membership_(makeMemberState(options_), options_.remoteHeartbeatTimeout),
       forwardingClient_(runtime, metrics_, hooks_.headerNames),
       services_(context_, registry_, options_.limits),
-      forwarder_(runtime, metrics_, forwardingClient_, services_,
-                 makeForwarderOptions(options_, hooks_)),
+      forwarder_(runtime, metrics_, forwardingClient_, services_, crashes_, makeForwarderOptions()),
       follower_(runtime, hooks_.store,
                 {[this] {
                      return state::selectStoreSource(membership_.liveMembers(),
@@ -97,7 +84,13 @@
                 [this] {
                     updateHostShare();
                     follower_.checkSource();
-                }),
+                },
+                {[this](coordination::PeerMessage &message, bool all) {
+                     message.crashReports = crashes_.select(runtime_.clock().now(), all);
+                 },
+                 [this](const coordination::PeerMessage &message) {
+                     mergeCrashReports(message.crashReports);
+                 }}),
       frontendServer_(runtime, hooks_.headerNames,
                       [this](auto request, auto monitor) {
                           return forwarder_.serve(std::move(request), std::move(monitor));
@@ -118,6 +111,22 @@
     addGauges();
 }
 
+forward::ForwarderOptions HostDaemon::makeForwarderOptions()
+{
+    forward::ForwarderOptions result;
+    result.names = hooks_.headerNames;
+    result.extraLoadTokens = options_.retryRatio;
+    result.regionOf = [this](const std::string &domain) {
+        const auto found = options_.regionByFailureDomain.find(domain);
+        return found == options_.regionByFailureDomain.end() ? std::string() : found->second;
+    };
+    result.incarnationOf = [this](const std::string &upstream) {
+        return registry_.incarnationOf(upstream);
+    };
+    result.onQuarantined = [this] { exchange_.announce(); };
+    return result;
+}
+
 Status<transport::TransportError> HostDaemon::start()
 {
     const auto listen = [](auto &server, const std::string &address) {
@@ -230,6 +239,17 @@
                         {"revision", std::to_string(follower_.mirror().position().revision)}});
 }
 
+void HostDaemon::mergeCrashReports(const std::vector<state::CrashReport> &reports)
+{
+    const auto quarantined = crashes_.merge(reports, runtime_.clock().now());
+    for (const auto fingerprint : quarantined) {
+        transport::logWarning(Part, "quarantined a request that crashed upstreams of peers",
+                              {{"fingerprint", state::formatFingerprint(fingerprint)}});
+    }
+    if (!quarantined.empty())
+        exchange_.announce();
+}
+
 void HostDaemon::updateHostShare()
 {
     const auto active = state::selectActiveEntries(membership_.liveMembers());
@@ -288,6 +308,7 @@
         last = now;
         services_.reconfigure(registry_.expire(now));
         exchange_.expire();
+        crashes_.expire(now);
         if (++ticks % TicksPerLoadUpdate == 0)
             updateMembershipLoad();
     }
@@ -358,6 +379,9 @@
                    [this] { return static_cast<double>(frontendServer_.connectionCount()); });
     metrics_.gauge("persimmon_live_hosts", "Live hosts, including this host.",
                    [this] { return static_cast<double>(membership_.liveCount()); });
+    metrics_.gauge("persimmon_suspected_requests",
+                   "Fingerprints of requests under which upstreams ended.",
+                   [this] { return static_cast<double>(crashes_.fingerprintCount()); });
     metrics_.gauge("persimmon_known_upstreams", "Registered upstreams.",
                    [this] { return static_cast<double>(registry_.size()); });
     metrics_.gauge("persimmon_store_revision", "Store revision up to which records are replicated.",
--- a/host/host_daemon.h
+++ b/host/host_daemon.h
@@ -31,6 +31,7 @@
     boost::asio::awaitable<void> shutDown();
 
 private:
+    forward::ForwarderOptions makeForwarderOptions();
     void onRecordsChanged(const std::vector<state::StoreRecord> &records);
     /// Applies a decoded record and adds the affected services to @p changedServices.
     void applyRecord(const state::RoutingConfig &config, std::set<std::string> &changedServices);
@@ -40,6 +41,7 @@
     void applyRecord(const IgnoredRecord & /*record*/, std::set<std::string> & /*changedServices*/)
     {
     }
+    void mergeCrashReports(const std::vector<state::CrashReport> &reports);
     void updateHostShare();
     void updateStoreReachability();
     void updatePhase();
@@ -59,6 +61,7 @@
     dispatch::ServiceExecutorContext context_;
     state::UpstreamRegistry registry_;
     state::EntryMembership membership_;
+    state::CrashEvidence crashes_;
     forward::ForwardingClient forwardingClient_;
     forward::ServiceExecutors services_;
     forward::RequestForwarder forwarder_;
--- a/state/scheduled_sub_request.cpp
+++ b/state/scheduled_sub_request.cpp
@@ -5,7 +5,8 @@
 bool ScheduledSubRequest::recordAttemptEnd(const std::string &upstream, AttemptResult &result)
 {
     bool executed = false;
-    if (result.end == AttemptEnd::NotWritten)
+    const bool unsent = result.end == AttemptEnd::NotWritten || result.end == AttemptEnd::Withheld;
+    if (unsent)
         unreached.insert(upstream);
     switch (result.end) {
     case AttemptEnd::SnapshotMissing:
@@ -30,12 +31,15 @@
         upstreamFailure = std::move(result.answer);
         executed = true;
         break;
+    case AttemptEnd::Withheld:
+        lastError = protocol::SubError::Quarantined;
+        break;
     default:
         lastError = protocol::SubError::NoUpstream;
         break;
     }
     mayHaveExecuted = mayHaveExecuted || executed;
-    reachedUpstream = reachedUpstream || result.end != AttemptEnd::NotWritten;
+    reachedUpstream = reachedUpstream || !unsent;
     return executed;
 }
 
--- a/state/scheduler_actions.h
+++ b/state/scheduler_actions.h
@@ -53,9 +53,11 @@
     Failed,
     /// Another instance uses the address; nothing was executed.
     Replaced,
+    /// It was not sent, since its request crashes upstreams.
+    Withheld,
 };
 
-inline constexpr std::array<EnumName<AttemptEnd>, 13> AttemptEndNames{{
+inline constexpr std::array<EnumName<AttemptEnd>, 14> AttemptEndNames{{
         {AttemptEnd::Answered, "answered"},
         {AttemptEnd::SnapshotMissing, "snapshot_missing"},
         {AttemptEnd::Shed, "shed"},
@@ -69,6 +71,7 @@
         {AttemptEnd::Oversized, "oversized"},
         {AttemptEnd::Failed, "failed"},
         {AttemptEnd::Replaced, "replaced"},
+        {AttemptEnd::Withheld, "withheld"},
 }};
 
 /// Result of an attempt as the I/O layer reports it.
--- a/state/service_scheduler.cpp
+++ b/state/service_scheduler.cpp
@@ -109,6 +109,11 @@
         return;
     }
     const bool executed = request.recordAttemptEnd(ended.upstream.name, result);
+    if (result.end == AttemptEnd::Withheld) {
+        if (request.attempts.empty())
+            reply(actions, request, request.lastError);
+        return;
+    }
     // Once an attempt has reached an upstream, any further attempt may add an arrival, whatever
     // the result of this one.
     retryOrReply(actions, request, executed, chargeRefusals_ && request.reachedUpstream, now);
--- a/state/state.h
+++ b/state/state.h
@@ -3,6 +3,8 @@
 #include "state/cluster_view.h"
 #include "state/cold_start_limiter.h"
 #include "state/config_store.h"
+#include "state/crash_evidence.h"
+#include "state/crash_guard.h"
 #include "state/crash_isolation_gate.h"
 #include "state/crash_tracker.h"
 #include "state/decaying_latency_histogram.h"
--- a/state/upstream_registry.cpp
+++ b/state/upstream_registry.cpp
@@ -177,6 +177,12 @@
     return settings;
 }
 
+std::uint64_t UpstreamRegistry::incarnationOf(const std::string &id) const
+{
+    const auto found = upstreams_.find(id);
+    return found == upstreams_.end() ? 0 : found->second.record.incarnation;
+}
+
 std::set<std::string> UpstreamRegistry::regionsOf(const std::string &service) const
 {
     std::set<std::string> regions;
--- a/state/upstream_registry.h
+++ b/state/upstream_registry.h
@@ -97,6 +97,9 @@
     /// @return the regions in which the service has a usable upstream.
     std::set<std::string> regionsOf(const std::string &service) const;
 
+    /// @return UpstreamRecord::incarnation of an upstream; 0 if it is not registered.
+    std::uint64_t incarnationOf(const std::string &id) const;
+
     const std::set<std::string> &evacuated() const { return evacuated_; }
     std::size_t size() const { return upstreams_.size(); }
 
--- a/tests/forward/forwarder_fixture.h
+++ b/tests/forward/forwarder_fixture.h
@@ -23,6 +23,8 @@
 class ForwarderFixture
 {
 public:
+    static constexpr std::chrono::milliseconds ReturnLatency{20};
+
     ForwarderFixture()
     {
         config.version = 1;
@@ -107,8 +109,9 @@
     state::UpstreamRegistry registry{{{"d", "r"}}};
     forward::ForwardingClient client{runtime, metrics, makeNames()};
     forward::ServiceExecutors services{context, registry, {50, 1, 0}};
-    forward::RequestForwarder forwarder{
-            runtime, metrics, client, services, {makeNames(), 0.2, std::chrono::milliseconds(20)}};
+    state::CrashEvidence crashes;
+    forward::RequestForwarder forwarder{runtime,  metrics, client,
+                                        services, crashes, {makeNames(), 0.2, ReturnLatency}};
     forward::FrontendServer server{runtime, makeNames(), [this](auto request, auto monitor) {
                                        return forwarder.serve(std::move(request),
                                                               std::move(monitor));
--- a/tests/forward/test_misbehaving_upstreams.cpp
+++ b/tests/forward/test_misbehaving_upstreams.cpp
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <chrono>
+#include <memory>
 
 using namespace persimmon;
 using namespace persimmon::tests;
@@ -240,3 +241,31 @@
     CHECK(first.growTo(100));
     CHECK_FALSE(first.growTo(101));
 }
+
+// Guards against a part that is left out, or a request that is refused later, because several
+// upstreams ended at the same time for another reason.
+TEST_CASE_FIXTURE(Fixture,
+                  "a request that lost an upstream of each shard is retried and not quarantined")
+{
+    constexpr int ShardCount = 4;
+    auto &gather = config.routes.back().gather;
+    gather.shards.clear();
+    gather.minFraction = 1;
+    std::vector<std::unique_ptr<RawUpstream>> upstreams;
+    for (int shard = 0; shard < ShardCount; ++shard) {
+        const auto service = "p" + std::to_string(shard);
+        gather.shards.push_back(service);
+        upstreams.push_back(std::make_unique<RawUpstream>(respondWith("", true)));
+        addUpstream(service, service + "-ends", *upstreams.back());
+        upstreams.push_back(std::make_unique<RawUpstream>(
+                respondWith(makeResponse(std::string(state::RecordBytes, 'a'), service))));
+        addUpstream(service, service + "-sound", *upstreams.back());
+    }
+    start();
+    for (int i = 0; i < 10; ++i) {
+        const auto merged = call("/g/");
+        CHECK_MESSAGE(statusOf(merged) == 200, merged);
+        CHECK(fieldOf(merged, "X-Missing") == "0");
+    }
+    CHECK(crashes.crashCount(state::requestFingerprint("GET", "h", "/g/", "")) == 0);
+}
--- a/tests/support/raw_http.cpp
+++ b/tests/support/raw_http.cpp
@@ -118,6 +118,9 @@
 {
     while (!stopping_) {
         restart();
+        // The destructor wakes accept() only on a socket that already listens.
+        if (stopping_)
+            return;
         const int socket = ::accept(listener_, nullptr, nullptr);
         if (socket < 0)
             continue;
--- a/tests/system/platform_cluster.cpp
+++ b/tests/system/platform_cluster.cpp
@@ -158,7 +158,14 @@
                                         + addresses_.at(id) + R"(","zone":")" + zone
                                         + R"(","version":"v","concurrency_limit":4,"state":")"
                                         + state + R"(","cold_left_ms":0,"sequence":)"
-                                        + std::to_string(++sequences_[id]) + R"(,"born":1})");
+                                        + std::to_string(++sequences_[id]) + R"(,"born":)"
+                                        + std::to_string(1 + incarnations_[id]) + "}");
+}
+
+void PlatformCluster::registerRestart(const std::string &id)
+{
+    ++incarnations_[id];
+    registerUpstream(id, "ready");
 }
 
 void PlatformCluster::deregisterUpstream(const std::string &id)
--- a/tests/system/platform_cluster.h
+++ b/tests/system/platform_cluster.h
@@ -71,6 +71,9 @@
     /// with each call.
     void registerUpstream(const std::string &id, const std::string &state);
 
+    /// Registers a new incarnation of an upstream.
+    void registerRestart(const std::string &id);
+
     /// Removes the registration of an upstream.
     void deregisterUpstream(const std::string &id);
 
@@ -146,6 +149,7 @@
     std::map<std::string, std::string> addresses_;
     mutable std::mutex mutex_;
     std::map<std::string, int> sequences_;
+    std::map<std::string, int> incarnations_;
     std::map<std::string, int> executionCounts_;
     std::atomic<bool> dropResponses_ = false;
     std::map<std::string, std::unique_ptr<RawUpstream>> upstreams_;
--- a/tests/system/test_crashing_request.cpp
+++ b/tests/system/test_crashing_request.cpp
@@ -1,6 +1,6 @@
 #include "tests/system/platform_checks.h"
 
-#include <csignal>
+#include <atomic>
 #include <thread>
 #include <vector>
 
@@ -39,11 +39,26 @@
         }
         const std::lock_guard lock(mutex_);
         crashes_.push_back(Clock::now());
+        restartAt_[id] = Clock::now() + Downtime;
         RawResponse response;
         response.downtime = Downtime;
         return response;
     }
 
+    /// @return the upstreams that have started again since the last call.
+    std::vector<std::string> takeRestarted()
+    {
+        const std::lock_guard lock(mutex_);
+        std::vector<std::string> restarted;
+        for (const auto &[id, at] : restartAt_) {
+            if (Clock::now() >= at)
+                restarted.push_back(id);
+        }
+        for (const auto &id : restarted)
+            restartAt_.erase(id);
+        return restarted;
+    }
+
     std::size_t crashCount() const
     {
         const std::lock_guard lock(mutex_);
@@ -64,13 +79,30 @@
 private:
     mutable std::mutex mutex_;
     std::vector<Clock::time_point> crashes_;
+    std::map<std::string, Clock::time_point> restartAt_;
 };
 
 /// Hosts whose upstreams can be crashed.
 class CrashRig
 {
 public:
-    CrashRig() : cluster_(makeOptions()) { waitUntilAllListed(cluster_); }
+    CrashRig() : cluster_(makeOptions())
+    {
+        waitUntilAllListed(cluster_);
+        for (const auto *target : {"/g/popular", "/one/popular"})
+            callers_.emplace_back([this, target] { callRepeatedly(target, "GET"); });
+        callers_.emplace_back([this] { callRepeatedly("/pay/popular", "POST"); });
+    }
+
+    ~CrashRig()
+    {
+        running_ = false;
+        for (auto &caller : callers_)
+            caller.join();
+    }
+
+    CrashRig(const CrashRig &) = delete;
+    CrashRig &operator=(const CrashRig &) = delete;
 
     PlatformCluster &cluster() { return cluster_; }
     CrashingUpstreams &upstreams() { return upstreams_; }
@@ -81,6 +113,8 @@
     {
         const auto end = Clock::now() + time;
         while (Clock::now() < end) {
+            for (const auto &id : upstreams_.takeRestarted())
+                cluster_.registerRestart(id);
             const int host = 1 + ++count_ % HostCount;
             const auto response = cluster_.call(host, prefix + "crash", method);
             CHECK_MESSAGE((statusOf(response) == 502 || statusOf(response) == 503), response);
@@ -90,13 +124,15 @@
         }
     }
 
-    /// Sends requests that do not crash to all hosts. All of them must be served.
+    /// Sends requests that do not crash, some of which were lost with crashes, to all hosts. All of
+    /// them must be served.
     void checkOthersServed(const std::string &prefix, const std::string &method)
     {
         for (int i = 0; i < 2 * HostCount; ++i) {
-            const auto response = cluster_.call(1 + i % HostCount,
-                                                prefix + "later" + std::to_string(i % 3), method);
-            CHECK_MESSAGE(statusOf(response) == 200, response);
+            for (const std::string name : {"popular", "new"}) {
+                const auto response = cluster_.call(1 + i % HostCount, prefix + name, method);
+                CHECK_MESSAGE(statusOf(response) == 200, response);
+            }
         }
     }
 
@@ -113,9 +149,18 @@
         return options;
     }
 
+    /// Sends the same request, which does not crash, so that some are lost with each crash.
+    void callRepeatedly(const std::string &target, const std::string &method)
+    {
+        for (int i = 0; running_; ++i)
+            cluster_.call(1 + i % HostCount, target, method);
+    }
+
     CrashingUpstreams upstreams_;
     PlatformCluster cluster_;
     int count_ = 0;
+    std::atomic<bool> running_ = true;
+    std::vector<std::thread> callers_;
 };
 
 void checkCrashingRequestStops(const std::string &prefix, const std::string &method)
