Read and log the limits, pauses and shutdowns that upstreams state

Cause: no file read Server-Limit or Server-Leaving, and of a 503 only X-Not-Executed, so that logs could not tell which limit an upstream had stated, when, and what share of it each host would have.

Change: responses of the upstream itself are searched for a limit, a pause (Retry-After of a 503) and a shutdown. UpstreamRestrictions keeps them for each upstream; changes are logged with the own share and the source. Values that are no number, zero, negative, too large or stated twice are logged and counted (persimmon_invalid_notices_total) and otherwise ignored. 421, other ids and broken responses say nothing. Nothing is enforced yet.

--- a/dispatch/service_executor.cpp
+++ b/dispatch/service_executor.cpp
@@ -5,9 +5,10 @@
 namespace persimmon::dispatch {
 
 ServiceExecutor::ServiceExecutor(ServiceExecutorContext &context,
-                                 std::shared_ptr<state::TimingRegistry> timings)
+                                 std::shared_ptr<state::TimingRegistry> timings,
+                                 std::shared_ptr<state::UpstreamRestrictions> restrictions)
     : context_(context),
-      scheduler_(std::move(timings))
+      scheduler_(std::move(timings), std::move(restrictions))
 {
 }
 
--- a/dispatch/service_executor.h
+++ b/dispatch/service_executor.h
@@ -40,9 +40,11 @@
 public:
     /// @param timings latency statistics, which executors of services with equal work may share if
     ///        they all run on one thread.
+    /// @param restrictions what the upstreams have stated, shared likewise; null for none.
     explicit ServiceExecutor(ServiceExecutorContext &context,
                              std::shared_ptr<state::TimingRegistry> timings =
-                                     std::make_shared<state::TimingRegistry>());
+                                     std::make_shared<state::TimingRegistry>(),
+                             std::shared_ptr<state::UpstreamRestrictions> restrictions = nullptr);
 
     void configure(const state::ServiceSettings &settings);
 
--- a/forward/forward.h
+++ b/forward/forward.h
@@ -10,4 +10,5 @@
 #include "forward/request_forwarder.h"
 #include "forward/service_executors.h"
 #include "forward/session_phase.h"
+#include "forward/upstream_notice_parser.h"
 #include "forward/upstream_response.h"
--- a/forward/forwarding_client.cpp
+++ b/forward/forwarding_client.cpp
@@ -84,6 +84,7 @@
                                    HeaderNames names)
     : runtime_(runtime),
       names_(std::move(names)),
+      noticeParser_(metrics, names_),
       openedConnections_(metrics.counter("persimmon_upstream_connections_total",
                                          "Connections opened to upstreams.")),
       reusedConnections_(metrics.counter("persimmon_upstream_reuses_total",
@@ -198,9 +199,14 @@
     const bool keepOpen = response.keep_alive() && connection->buffer.size() == 0
                           && !response.need_eof() && response.count(names_.requestId) > 0;
     connection->idleTimeout = parseIdleTimeout(response[http::field::keep_alive]);
+    const auto notice = noticeParser_.parse(response, upstream,
+                                            response.result() == http::status::service_unavailable);
     result = classifyResponse(std::move(response), names_, request->id);
-    if (keepOpen && result.end != state::AttemptEnd::Dropped
-        && result.end != state::AttemptEnd::Replaced)
+    const bool isOwn =
+            result.end != state::AttemptEnd::Dropped && result.end != state::AttemptEnd::Replaced;
+    if (isOwn)
+        result.notice = notice;
+    if (keepOpen && isOwn)
         releaseIdle(upstream, connection);
     co_return result;
 }
--- a/forward/forwarding_client.h
+++ b/forward/forwarding_client.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "forward/receive_budget.h"
+#include "forward/upstream_notice_parser.h"
 #include "forward/upstream_response.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -104,6 +105,7 @@
 
     transport::Runtime &runtime_;
     const HeaderNames names_;
+    UpstreamNoticeParser noticeParser_;
     transport::Counter &openedConnections_;
     transport::Counter &reusedConnections_;
     std::map<std::string, std::vector<ConnectionPtr>> idle_;
--- a/forward/header_names.h
+++ b/forward/header_names.h
@@ -18,6 +18,10 @@
     std::string expectedInstance;
     /// Present in the response of an upstream that did not execute the request.
     std::string notExecuted;
+    /// Requests per second that an upstream accepts from all hosts together.
+    std::string requestLimit;
+    /// Present in the responses of an upstream that is shutting down.
+    std::string leaving;
     /// Comma-separated signatures of the parts of a gathered response.
     std::string partSignatures;
     /// Number of shards that are missing in a gathered response.
--- a/forward/service_executors.cpp
+++ b/forward/service_executors.cpp
@@ -8,7 +8,7 @@
     const Key key(service, homeRegions);
     auto &executor = executors_[key];
     if (!executor) {
-        executor = std::make_shared<dispatch::ServiceExecutor>(context_, timings_);
+        executor = std::make_shared<dispatch::ServiceExecutor>(context_, timings_, restrictions_);
         configure(key, *executor);
     }
     return *executor;
@@ -27,6 +27,7 @@
     if (share == share_)
         return;
     share_ = share;
+    restrictions_->setShare(share);
     reconfigureAll();
 }
 
--- a/forward/service_executors.h
+++ b/forward/service_executors.h
@@ -40,6 +40,9 @@
     /// Sets the position of this host among the live hosts.
     void setShare(const state::HostShare &share);
 
+    /// @return what the upstreams have stated.
+    state::UpstreamRestrictions &restrictions() { return *restrictions_; }
+
     /// Applies changes of the registry to the executors of @p services.
     void reconfigure(const std::set<std::string> &services);
 
@@ -54,6 +57,8 @@
     state::SharedLimits limits_;
     const std::shared_ptr<state::TimingRegistry> timings_ =
             std::make_shared<state::TimingRegistry>();
+    const std::shared_ptr<state::UpstreamRestrictions> restrictions_ =
+            std::make_shared<state::UpstreamRestrictions>();
     std::map<std::string, state::ServiceInfo> services_;
     state::HostShare share_;
     std::map<Key, std::shared_ptr<dispatch::ServiceExecutor>> executors_;
--- a/host/host_daemon.cpp
+++ b/host/host_daemon.cpp
@@ -107,6 +107,7 @@
       })
 {
     exchange_.setSeeds(options_.seeds);
+    setRestrictionHooks();
     updateHostShare();
     addGauges();
 }
@@ -205,7 +206,9 @@
 void HostDaemon::applyRecord(const state::UpstreamRecord &record,
                              std::set<std::string> &changedServices)
 {
-    changedServices.merge(registry_.update(record, runtime_.clock().now()));
+    const auto now = runtime_.clock().now();
+    changedServices.merge(registry_.update(record, now));
+    services_.restrictions().onRegistered(record.id, record.incarnation, now);
     transport::logInfo(Part, "upstream updated",
                        {{"upstream", record.id},
                         {"service", record.service},
@@ -218,7 +221,9 @@
 void HostDaemon::applyRecord(const RemovedUpstream &removed, std::set<std::string> &changedServices)
 {
     forwardingClient_.closeIdleTo(removed.id);
-    const auto services = registry_.remove(removed.id, runtime_.clock().now());
+    const auto now = runtime_.clock().now();
+    services_.restrictions().onUnregistered(removed.id, now);
+    const auto services = registry_.remove(removed.id, now);
     if (services.empty())
         return;
     transport::logInfo(Part, "upstream removed",
@@ -239,6 +244,30 @@
                         {"revision", std::to_string(follower_.mirror().position().revision)}});
 }
 
+void HostDaemon::setRestrictionHooks()
+{
+    auto &restrictions = services_.restrictions();
+    restrictions.onChange = [this](const state::RestrictionReport &report,
+                                   const std::string &source) { logRestrictions(report, source); };
+    restrictions.onPause = [](const std::string &upstream, state::Duration pause) {
+        const auto milliseconds = std::chrono::round<std::chrono::milliseconds>(pause);
+        transport::logInfo(Part, "upstream stated a pause",
+                           {{"upstream", upstream}, {"ms", std::to_string(milliseconds.count())}});
+    };
+}
+
+void HostDaemon::logRestrictions(const state::RestrictionReport &report, const std::string &source)
+{
+    transport::logInfo(
+            Part, "restrictions of an upstream changed",
+            {{"upstream", report.upstream},
+             {"limit_per_s", std::to_string(report.requestLimit)},
+             {"own_share_per_s", std::to_string(services_.restrictions().ownRate(report.upstream))},
+             {"leaving", report.leaving ? "yes" : "no"},
+             {"version", std::to_string(report.version)},
+             {"source", source}});
+}
+
 void HostDaemon::mergeCrashReports(const std::vector<state::CrashReport> &reports)
 {
     const auto quarantined = crashes_.merge(reports, runtime_.clock().now());
@@ -309,6 +338,7 @@
         services_.reconfigure(registry_.expire(now));
         exchange_.expire();
         crashes_.expire(now);
+        services_.restrictions().expire(now);
         if (++ticks % TicksPerLoadUpdate == 0)
             updateMembershipLoad();
     }
--- a/state/replica_set.cpp
+++ b/state/replica_set.cpp
@@ -269,6 +269,8 @@
 void ReplicaSet::onEnded(const std::string &name, const AttemptResult &result,
                          std::uint64_t snapshot, Duration latency, TimePoint now)
 {
+    if (restrictions_)
+        restrictions_->onNotice(name, result.notice, now - latency, now);
     const auto found = replicas_.find(name);
     if (found == replicas_.end())
         return;
--- a/state/replica_set.h
+++ b/state/replica_set.h
@@ -6,9 +6,11 @@
 #include "state/scheduler_actions.h"
 #include "state/service_timing.h"
 #include "state/upstream_ramp.h"
+#include "state/upstream_restrictions.h"
 
 #include <deque>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -104,6 +106,12 @@
         std::uint32_t inFlight = 0;
     };
 
+    /// @param restrictions what the upstreams have stated; null for none.
+    explicit ReplicaSet(std::shared_ptr<UpstreamRestrictions> restrictions = nullptr)
+        : restrictions_(std::move(restrictions))
+    {
+    }
+
     void configure(const ServiceSettings &settings);
 
     /// Selects the upstream with the lowest recent latency, weighted by its utilization.
@@ -204,6 +212,7 @@
     const Replica &best(const std::vector<const Replica *> &candidates, TimePoint now,
                         bool mayProbe) const;
 
+    std::shared_ptr<UpstreamRestrictions> restrictions_;
     std::map<std::string, Replica> replicas_;
     /// See ServiceSettings::sharedConnectionLimit.
     bool sharedConnectionLimit_ = false;
--- a/state/scheduler_actions.h
+++ b/state/scheduler_actions.h
@@ -2,6 +2,7 @@
 
 #include "protocol/protocol.h"
 #include "state/decaying_latency_histogram.h"
+#include "state/upstream_notice.h"
 
 #include <cstdint>
 #include <memory>
@@ -88,6 +89,7 @@
     bool newConnection = false;
     /// For Answered and Failed: the answer to a forwarded request.
     std::shared_ptr<const protocol::ForwardedResponse> answer = {};
+    UpstreamNotice notice = {};
 };
 
 /// Reason for which an attempt is started.
--- a/state/service_scheduler.h
+++ b/state/service_scheduler.h
@@ -34,9 +34,12 @@
 
     /// @param timings execution times, shared with the schedulers of services that do the same work
     ///        and run on the same thread.
+    /// @param restrictions what the upstreams have stated, shared likewise; null for none.
     explicit ServiceScheduler(
-            std::shared_ptr<TimingRegistry> timings = std::make_shared<TimingRegistry>())
-        : timings_(std::move(timings))
+            std::shared_ptr<TimingRegistry> timings = std::make_shared<TimingRegistry>(),
+            std::shared_ptr<UpstreamRestrictions> restrictions = nullptr)
+        : replicas_(std::move(restrictions)),
+          timings_(std::move(timings))
     {
     }
 
--- a/state/upstream_registry.h
+++ b/state/upstream_registry.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "state/host_share.h"
 #include "state/replica_set.h"
 #include "state/routing_config.h"
 
@@ -31,18 +32,6 @@
     bool operator==(const UpstreamRecord &) const = default;
 };
 
-/// Position of this host among the active hosts, which divide shared limits among themselves.
-struct HostShare
-{
-    /// Number of active hosts.
-    std::uint32_t hosts = 1;
-    /// Zero-based position among the active hosts; std::nullopt if this host is not active.
-    std::optional<std::uint32_t> position = 0;
-    std::string region;
-
-    bool operator==(const HostShare &) const = default;
-};
-
 /// Limits that apply to all hosts in sum.
 struct SharedLimits
 {
--- a/tests/forward/forwarder_fixture.h
+++ b/tests/forward/forwarder_fixture.h
@@ -13,6 +13,8 @@
     names.signature = "X-Sign";
     names.expectedInstance = "X-Instance";
     names.notExecuted = "X-Not-Run";
+    names.requestLimit = "X-Limit";
+    names.leaving = "X-Leaving";
     names.partSignatures = "X-Parts";
     names.missingParts = "X-Missing";
     return names;
