Divide the request limits that upstreams state among the hosts

What upstreams see: a limit that they state changes nothing; with a limit of 24.2 one got 217 requests in 4 s.

Class of fault: a bound on a sum that no host applies, because none sees the sum.

Ruled out: hosts that have not heard (all had within 2.3 s), and the ranking by latency (it keeps sending).

Change: each host sends its part of the limit, from a token bucket for each upstream that all executors of the host share; all attempts count, whatever their kind. Changes are gossiped with a version; what an upstream says itself is newer. Work that no upstream accepts is rejected at once with the time at which one will; a gathered request before its first part, so that limits are not used up by parts of requests that fail.

--- a/coordination/peer_message.cpp
+++ b/coordination/peer_message.cpp
@@ -90,6 +90,23 @@
     return numbers;
 }
 
+state::RestrictionReport readRestriction(const json::array &columns)
+{
+    state::RestrictionReport report;
+    report.upstream = json::value_to<std::string>(columns.at(0));
+    report.incarnation = columns.at(1).to_number<std::uint64_t>();
+    report.version = columns.at(2).to_number<std::uint32_t>();
+    report.requestLimit = columns.at(3).to_number<double>();
+    report.leaving = columns.at(4).to_number<int>() != 0;
+    return report;
+}
+
+json::array writeRestriction(const state::RestrictionReport &report)
+{
+    return {report.upstream, report.incarnation, report.version, report.requestLimit,
+            report.leaving ? 1 : 0};
+}
+
 state::DeletedWrite readDeletedWrite(const json::array &columns)
 {
     state::DeletedWrite write;
@@ -166,6 +183,12 @@
         object["wants_records"] = true;
     if (!message.crashReports.empty())
         object["crashes"] = writeCrashReports(message.crashReports);
+    if (!message.restrictions.empty()) {
+        json::array restrictions;
+        for (const auto &report : message.restrictions)
+            restrictions.emplace_back(writeRestriction(report));
+        object["restrictions"] = std::move(restrictions);
+    }
     if (message.delta) {
         object["snapshot"] = message.delta->isSnapshot;
         json::array records;
@@ -193,6 +216,10 @@
             message.members.push_back(readMember(member.as_array()));
         if (const auto *crashes = object.if_contains("crashes"))
             message.crashReports = readCrashReports(crashes->as_array());
+        if (const auto *restrictions = object.if_contains("restrictions")) {
+            for (const auto &report : restrictions->as_array())
+                message.restrictions.push_back(readRestriction(report.as_array()));
+        }
         if (const auto *records = object.if_contains("records")) {
             auto &delta = message.delta.emplace();
             delta.asOf = message.position;
--- a/coordination/peer_message.h
+++ b/coordination/peer_message.h
@@ -4,6 +4,7 @@
 #include "state/crash_evidence.h"
 #include "state/entry_membership.h"
 #include "state/record_mirror.h"
+#include "state/upstream_restrictions.h"
 
 #include <optional>
 #include <string>
@@ -30,6 +31,8 @@
     bool wantsRecords = false;
     /// Upstreams that crashed during requests.
     std::vector<state::CrashReport> crashReports;
+    /// Restrictions that upstreams have stated.
+    std::vector<state::RestrictionReport> restrictions;
     /// Records that the requester lacks; on the wire, their position is that of the message.
     std::optional<state::RecordDelta> delta;
 
--- a/dispatch/service_executor.cpp
+++ b/dispatch/service_executor.cpp
@@ -54,6 +54,17 @@
     return scheduler_.expectedWait(workClass);
 }
 
+std::optional<transport::Duration>
+ServiceExecutor::acceptanceWait(protocol::Priority priority) const
+{
+    const std::lock_guard lock(mutex_);
+    const auto now = context_.runtime.clock().now();
+    const auto start = scheduler_.nextAcceptedStart(priority, now);
+    if (!start || *start == transport::TimePoint::max())
+        return std::nullopt;
+    return std::max(*start - now, transport::Duration(0));
+}
+
 void ServiceExecutor::handleEvent(const SchedulerEvent &event)
 {
     DeferredCalls calls;
--- a/dispatch/service_executor.h
+++ b/dispatch/service_executor.h
@@ -56,6 +56,10 @@
     ///         is available.
     std::optional<transport::Duration> expectedWait(std::uint32_t workClass) const;
 
+    /// @return the time until an upstream accepts work of this priority by what the upstreams have
+    ///         stated, 0 if one accepts it now, or std::nullopt if none will.
+    std::optional<transport::Duration> acceptanceWait(protocol::Priority priority) const;
+
     /// State of the service for status pages.
     struct Status
     {
--- a/forward/request_forwarder.cpp
+++ b/forward/request_forwarder.cpp
@@ -1,5 +1,6 @@
 #include "forward/request_forwarder.h"
 
+#include <algorithm>
 #include <functional>
 #include <random>
 
@@ -294,23 +295,31 @@
     }
     const std::string reason(enumName(protocol::SubErrorNames, reply.error));
     if (reply.outcome == protocol::SubOutcome::NotRun) {
-        const auto wait = services_.executorOf(service, context.route->homeRegions)
-                                  .expectedWait(workClassOf(*context.route));
+        const auto &executor = services_.executorOf(service, context.route->homeRegions);
+        const auto wait = reply.error == protocol::SubError::Restricted
+                                  ? executor.acceptanceWait(context.route->priority)
+                                  : executor.expectedWait(workClassOf(*context.route));
         return refuse(context, reason, wait.value_or(DefaultRetryAfter));
     }
     const bool late = reply.error == protocol::SubError::DeadlineExceeded;
     return fail(context, late ? 504 : 502, reason);
 }
 
-bool RequestForwarder::hasEnoughShards(const RequestContext &context) const
+std::optional<transport::Duration> RequestForwarder::gatherWait(const RequestContext &context) const
 {
     const auto &gather = context.route->gather;
-    std::size_t available = 0;
+    std::vector<transport::Duration> waits;
     for (const auto &shard : gather.shards) {
-        auto &executor = services_.executorOf(shard, context.route->homeRegions);
-        available += executor.expectedWait(workClassOf(*context.route)) ? 1 : 0;
+        const auto &executor = services_.executorOf(shard, context.route->homeRegions);
+        if (const auto wait = executor.acceptanceWait(context.route->priority))
+            waits.push_back(*wait);
     }
-    return available >= state::minShardCount(gather.shards.size(), gather.minFraction);
+    const auto needed = state::minShardCount(gather.shards.size(), gather.minFraction);
+    if (waits.size() < needed)
+        return std::nullopt;
+    const auto last = waits.begin() + static_cast<std::ptrdiff_t>(needed - 1);
+    std::nth_element(waits.begin(), last, waits.end());
+    return *last;
 }
 
 asio::awaitable<CallerResponse> RequestForwarder::serveGather(RequestContext context)
@@ -327,8 +336,11 @@
         state::GatherRun run;
         std::vector<ShardSubRequest> pending;
     };
-    if (!hasEnoughShards(context))
+    const auto wait = gatherWait(context);
+    if (!wait)
         co_return refuse(context, "too_few_shards", DefaultRetryAfter);
+    if (*wait > transport::Duration(0))
+        co_return refuse(context, "restricted", *wait);
     const auto &route = *context.route;
     const auto &shards = route.gather.shards;
     state::GatherPolicy policy;
--- a/forward/request_forwarder.h
+++ b/forward/request_forwarder.h
@@ -101,7 +101,9 @@
     CallerResponse makeSingleResponse(const RequestContext &context, const std::string &service,
                                       const state::SubReply &reply);
     CallerResponse makeGatherResponse(const RequestContext &context, const state::GatherRun &run);
-    bool hasEnoughShards(const RequestContext &context) const;
+    /// @return the time until enough shards of a gathered request have an upstream that accepts it,
+    ///         0 if they have one now, or std::nullopt if too few will.
+    std::optional<transport::Duration> gatherWait(const RequestContext &context) const;
     void recordResult(const RequestContext &context, const CallerResponse &response,
                       const std::string &outcome,
                       std::initializer_list<transport::LogField> fields);
--- a/host/host_daemon.cpp
+++ b/host/host_daemon.cpp
@@ -86,10 +86,13 @@
                     follower_.checkSource();
                 },
                 {[this](coordination::PeerMessage &message, bool all) {
-                     message.crashReports = crashes_.select(runtime_.clock().now(), all);
+                     const auto now = runtime_.clock().now();
+                     message.crashReports = crashes_.select(now, all);
+                     message.restrictions = services_.restrictions().select(now, all);
                  },
                  [this](const coordination::PeerMessage &message) {
                      mergeCrashReports(message.crashReports);
+                     mergeRestrictions(message);
                  }}),
       frontendServer_(runtime, hooks_.headerNames,
                       [this](auto request, auto monitor) {
@@ -244,6 +247,12 @@
                         {"revision", std::to_string(follower_.mirror().position().revision)}});
 }
 
+void HostDaemon::mergeRestrictions(const coordination::PeerMessage &message)
+{
+    const auto source = message.members.empty() ? "peer" : message.members.front().control;
+    services_.restrictions().merge(message.restrictions, source, runtime_.clock().now());
+}
+
 void HostDaemon::setRestrictionHooks()
 {
     auto &restrictions = services_.restrictions();
--- a/host/host_daemon.h
+++ b/host/host_daemon.h
@@ -41,6 +41,7 @@
     void applyRecord(const IgnoredRecord & /*record*/, std::set<std::string> & /*changedServices*/)
     {
     }
+    void mergeRestrictions(const coordination::PeerMessage &message);
     void setRestrictionHooks();
     void logRestrictions(const state::RestrictionReport &report, const std::string &source);
     void mergeCrashReports(const std::vector<state::CrashReport> &reports);
--- a/protocol/frame_messages.h
+++ b/protocol/frame_messages.h
@@ -95,9 +95,11 @@
     Malformed,
     /// The upstream executed the request and responded with an error.
     UpstreamFailed,
+    /// All upstreams have stated that they accept no request now.
+    Restricted,
 };
 
-inline constexpr std::array<EnumName<SubError>, 12> SubErrorNames{{
+inline constexpr std::array<EnumName<SubError>, 13> SubErrorNames{{
         {SubError::None, "none"},
         {SubError::Overloaded, "overloaded"},
         {SubError::SnapshotMissing, "snapshot_missing"},
@@ -110,6 +112,7 @@
         {SubError::StaleView, "stale_view"},
         {SubError::Malformed, "malformed"},
         {SubError::UpstreamFailed, "upstream_failed"},
+        {SubError::Restricted, "restricted"},
 }};
 
 /// Result of one sub-request.
--- a/state/replica_set.cpp
+++ b/state/replica_set.cpp
@@ -69,19 +69,23 @@
 }
 
 ReplicaSet::Choice ReplicaSet::choose(std::uint64_t snapshot, const std::set<std::string> &excluded,
-                                      TimePoint now, bool mayProbe) const
+                                      TimePoint now, const Purpose &purpose) const
 {
     bool anyAvailable = false;
+    bool anyAccepting = false;
     bool anyWithSnapshot = false;
     bool anyPreferred = false;
     std::vector<const Replica *> candidates;
     for (const auto &[name, replica] : replicas_) {
-        if (!replica.available || now < replica.replacedUntil)
+        if (!isUsable(replica, now))
             continue;
         anyAvailable = true;
         if (replica.isSnapshotMissing(snapshot, now))
             continue;
         anyWithSnapshot = true;
+        if (!accepts(replica, purpose, now))
+            continue;
+        anyAccepting = true;
         if (excluded.contains(name))
             continue;
         const bool preferred = replica.isPreferred(now);
@@ -94,12 +98,40 @@
             candidates.push_back(&replica);
     }
     if (!candidates.empty())
-        return {Availability::Found, best(candidates, now, mayProbe).host};
+        return {Availability::Found, best(candidates, now, purpose.mayProbe).host};
     if (anyWithSnapshot)
-        return {Availability::Busy, {}};
+        return {anyAccepting ? Availability::Busy : Availability::Restricted, {}};
     return {anyAvailable ? Availability::SnapshotMissing : Availability::NoUpstream, {}};
 }
 
+bool ReplicaSet::isUsable(const Replica &replica, TimePoint now) const
+{
+    return replica.available && now >= replica.replacedUntil;
+}
+
+bool ReplicaSet::accepts(const Replica &replica, const Purpose &purpose, TimePoint now) const
+{
+    if (!restrictions_)
+        return true;
+    const auto &name = replica.host.name;
+    if (purpose.optional && restrictions_->isLimited(name))
+        return false;
+    return restrictions_->nextStart(name, purpose.priority, now) <= now;
+}
+
+std::optional<TimePoint> ReplicaSet::nextAcceptedStart(protocol::Priority priority,
+                                                       TimePoint now) const
+{
+    std::optional<TimePoint> next;
+    for (const auto &[name, replica] : replicas_) {
+        if (!isUsable(replica, now))
+            continue;
+        const auto start = restrictions_ ? restrictions_->nextStart(name, priority, now) : now;
+        next = std::min(next.value_or(start), start);
+    }
+    return next;
+}
+
 const ReplicaSet::Replica &ReplicaSet::best(const std::vector<const Replica *> &candidates,
                                             TimePoint now, bool mayProbe) const
 {
@@ -258,6 +290,8 @@
     for (auto &[other, replica] : replicas_)
         ++replica.skippedCount;
     auto &started = replicas_.at(name);
+    if (restrictions_)
+        restrictions_->onStarted(name, now);
     if (started.inFlight == 0 && now - started.lastEnd > IdleRestartTime)
         started.ramp.onPossibleRestart();
     started.skippedCount = 0;
--- a/state/replica_set.h
+++ b/state/replica_set.h
@@ -90,7 +90,26 @@
     static constexpr std::chrono::milliseconds InitialProbeDelay{500};
 
     /// Result category of choose().
-    enum class Availability { Found, Busy, SnapshotMissing, NoUpstream };
+    enum class Availability {
+        Found,
+        Busy,
+        /// All upstreams have stated that they accept no request now.
+        Restricted,
+        SnapshotMissing,
+        NoUpstream,
+    };
+    /// What an upstream is chosen for.
+    struct Purpose
+    {
+        protocol::Priority priority = protocol::Priority::Critical;
+        /// Whether to prefer an idle upstream that was skipped ProbeInterval times, or whose high
+        /// recent latency is outdated, in order to detect its recovery. Only for work that may be
+        /// hedged.
+        bool mayProbe = false;
+        /// Whether the request could do without it; upstreams with a request limit are left to
+        /// others.
+        bool optional = false;
+    };
     struct Choice
     {
         Availability availability = Availability::NoUpstream;
@@ -116,11 +135,13 @@
 
     /// Selects the upstream with the lowest recent latency, weighted by its utilization.
     /// @param excluded names of upstreams that must not be selected.
-    /// @param mayProbe whether to prefer an idle upstream that was skipped ProbeInterval times, or
-    ///        whose high recent latency is outdated, in order to detect its recovery. Only for work
-    ///        that may be hedged.
     Choice choose(std::uint64_t snapshot, const std::set<std::string> &excluded, TimePoint now,
-                  bool mayProbe = false) const;
+                  const Purpose &purpose) const;
+    Choice choose(std::uint64_t snapshot, const std::set<std::string> &excluded,
+                  TimePoint now) const
+    {
+        return choose(snapshot, excluded, now, Purpose());
+    }
 
     /// @return whether any available upstream is below its limit.
     bool hasCapacity() const;
@@ -129,6 +150,10 @@
     ///         limited now.
     std::optional<TimePoint> nextColdStart(TimePoint now) const;
 
+    /// @return when an upstream next accepts a request by what the upstreams have stated: at the
+    ///         latest @p now if one accepts it now, or std::nullopt if no upstream is available.
+    std::optional<TimePoint> nextAcceptedStart(protocol::Priority priority, TimePoint now) const;
+
     /// @return whether the cost factor of an upstream is above that of a near one.
     bool isFar(const std::string &name) const;
 
@@ -200,6 +225,10 @@
         void scheduleProbe(Duration latency, Duration lowest, TimePoint now);
     };
 
+    /// @return whether the upstream accepts a request for @p purpose by what it has stated.
+    bool accepts(const Replica &replica, const Purpose &purpose, TimePoint now) const;
+    /// @return whether new work may be sent to the upstream at all.
+    bool isUsable(const Replica &replica, TimePoint now) const;
     /// @return maximum number of attempts in flight at @p replica.
     std::uint32_t limitOf(const Replica &replica, TimePoint now) const;
     /// @return the lowest recent latency of any upstream; assumed for upstreams without samples.
--- a/state/service_scheduler.cpp
+++ b/state/service_scheduler.cpp
@@ -89,7 +89,8 @@
         actions.emplace_back(QuarantineFingerprint{request.work.fingerprint});
         rejectQuarantined(actions, request.work.fingerprint);
     }
-    if (result.end == AttemptEnd::SnapshotMissing || result.end == AttemptEnd::Replaced)
+    if (result.end == AttemptEnd::SnapshotMissing || result.end == AttemptEnd::Replaced
+        || result.notice.restricts())
         rejectUnservable(actions, now);
     eraseIfDone(id);
     return finish(std::move(actions), now);
@@ -219,8 +220,11 @@
         return;
     if (request.hasReachedUpstreamLimit())
         return;
-    const auto choice =
-            replicas_.choose(request.work.snapshot, {request.attempts.front().upstream.name}, now);
+    ReplicaSet::Purpose purpose;
+    purpose.priority = request.work.priority;
+    purpose.optional = true;
+    const auto choice = replicas_.choose(request.work.snapshot,
+                                         {request.attempts.front().upstream.name}, now, purpose);
     if (choice.availability != ReplicaSet::Availability::Found)
         return;
     // A hedge on a straggler would be too late; the token is saved for work that runs on one.
@@ -289,24 +293,37 @@
     const auto next = timers_.nextExpiry();
     if (queue_.size() == 0)
         return next;
-    // No other event restarts work that waits for the rate limit of a cold upstream.
-    const auto cold = replicas_.nextColdStart(now);
-    return cold && (!next || *cold < *next) ? cold : next;
+    const auto start = nextQueuedStart(now);
+    return start && (!next || *start < *next) ? start : next;
+}
+
+std::optional<TimePoint> ServiceScheduler::nextQueuedStart(TimePoint now) const
+{
+    // No other event restarts work that waits for the rate limit of an upstream.
+    auto next = replicas_.nextColdStart(now);
+    const auto accepted = replicas_.nextAcceptedStart(protocol::Priority::Critical, now);
+    const bool isLimited = accepted && *accepted > now && *accepted < TimePoint::max();
+    if (isLimited && (!next || *accepted < *next))
+        next = accepted;
+    return next;
 }
 
 ReplicaSet::Choice ServiceScheduler::chooseUpstream(const SubRequest &request, TimePoint now,
                                                     bool mayProbe) const
 {
     const auto snapshot = request.work.snapshot;
+    ReplicaSet::Purpose purpose;
+    purpose.priority = request.work.priority;
+    purpose.mayProbe = mayProbe && request.attempted.empty();
     if (request.attempted.empty())
-        return replicas_.choose(snapshot, {}, now, mayProbe);
+        return replicas_.choose(snapshot, {}, now, purpose);
     if (!request.hasReachedUpstreamLimit()) {
         // Retry on an upstream without an earlier attempt if there is one.
-        const auto other = replicas_.choose(snapshot, request.attempted, now);
+        const auto other = replicas_.choose(snapshot, request.attempted, now, purpose);
         if (other.availability == ReplicaSet::Availability::Found)
             return other;
     }
-    return replicas_.choose(snapshot, request.exclusionsFrom(replicas_.names()), now);
+    return replicas_.choose(snapshot, request.exclusionsFrom(replicas_.names()), now, purpose);
 }
 
 std::optional<Duration> ServiceScheduler::expectedWait(std::uint32_t workClass) const
@@ -378,7 +395,11 @@
     rejectQueued(
             actions,
             [this, now](const SubRequest &request) {
-                switch (replicas_.choose(request.work.snapshot, {}, now).availability) {
+                ReplicaSet::Purpose purpose;
+                purpose.priority = request.work.priority;
+                switch (replicas_.choose(request.work.snapshot, {}, now, purpose).availability) {
+                case ReplicaSet::Availability::Restricted:
+                    return protocol::SubError::Restricted;
                 case ReplicaSet::Availability::SnapshotMissing:
                     return protocol::SubError::SnapshotMissing;
                 case ReplicaSet::Availability::NoUpstream:
--- a/state/service_scheduler.h
+++ b/state/service_scheduler.h
@@ -68,6 +68,12 @@
     ///         is available.
     std::optional<Duration> expectedWait(std::uint32_t workClass) const;
 
+    /// @return when work of this priority is accepted next, see ReplicaSet::nextAcceptedStart().
+    std::optional<TimePoint> nextAcceptedStart(protocol::Priority priority, TimePoint now) const
+    {
+        return replicas_.nextAcceptedStart(priority, now);
+    }
+
     /// @return median execution time of @p workClass, or std::nullopt before enough answers.
     std::optional<Duration> medianTime(std::uint32_t workClass) const;
 
@@ -90,6 +96,8 @@
     /// @return delay from the start of the oldest attempt to its hedge.
     Duration hedgeDelayOf(const SubRequest &request) const;
     std::optional<TimePoint> nextWakeup(TimePoint now) const;
+    /// @return when a queued sub-request may be started that no other event starts.
+    std::optional<TimePoint> nextQueuedStart(TimePoint now) const;
     void rejectUnservable(SchedulerActions &actions, TimePoint now,
                           std::optional<std::uint64_t> only = {});
     void rejectQueued(SchedulerActions &actions,
--- a/state/upstream_notice.h
+++ b/state/upstream_notice.h
@@ -16,6 +16,8 @@
     bool leaving = false;
     /// Time for which it accepts no requests from this host, if it states one.
     std::optional<std::chrono::milliseconds> pause;
+
+    bool restricts() const { return requestLimit || leaving || pause; }
 };
 
 } // namespace persimmon::state
--- a/state/upstream_restrictions.cpp
+++ b/state/upstream_restrictions.cpp
@@ -72,8 +72,7 @@
 void UpstreamRestrictions::onNotice(const std::string &upstream, const UpstreamNotice &notice,
                                     TimePoint startedAt, TimePoint now)
 {
-    const bool restricts = notice.requestLimit || notice.leaving || notice.pause;
-    if (!notice.responded || (!restricts && !upstreams_.contains(upstream)))
+    if (!notice.responded || (!notice.restricts() && !upstreams_.contains(upstream)))
         return;
     auto &known = upstreamOf(upstream, now);
     if (notice.pause) {
@@ -132,15 +131,12 @@
     if (found == upstreams_.end())
         return now;
     const auto &known = found->second;
-    if (known.report.leaving)
-        return TimePoint::max();
-    const auto paused = std::max(now, known.pausedUntil);
     if (known.report.requestLimit <= 0)
-        return paused;
+        return now;
     auto bucket = known.bucket;
     const auto rate = rateOf(known);
     bucket.setRate(rate, now);
-    return std::max(paused, bucket.timeOf(1 + reserveFor(priority, rate, now), now));
+    return bucket.timeOf(1 + reserveFor(priority, rate, now), now);
 }
 
 void UpstreamRestrictions::onStarted(const std::string &upstream, TimePoint now)
@@ -182,7 +178,10 @@
                 report.incarnation == known.report.incarnation && known.heardAt > now - DirectTime;
         if (!isNewer || (isHeard && !report.leaving))
             continue;
+        const bool isLeaving =
+                report.incarnation == known.report.incarnation && known.report.leaving;
         known.report = report;
+        known.report.leaving = report.leaving || isLeaving;
         known.statedAt = now;
         applyLimit(known, report.requestLimit, now);
         publish(known, source, now);
--- a/tests/coordination/test_peer_message.cpp
+++ b/tests/coordination/test_peer_message.cpp
@@ -29,6 +29,7 @@
     message.position = {3, 42};
     message.isReconciled = true;
     message.wantsRecords = true;
+    message.restrictions = {{"u1", ~0ULL, 7, 0.8, false}, {"u2", 1, ~0U, 0, true}};
     message.crashReports = {{~0ULL, 1, ~0ULL, false, std::chrono::seconds(3600)},
                             {2, ~0ULL, 3, true, std::chrono::seconds(1)}};
     message.delta = state::RecordDelta{
--- /dev/null
+++ b/tests/forward/test_upstream_notices.cpp
@@ -0,0 +1,68 @@
+#include "tests/forward/forwarder_fixture.h"
+
+#include <doctest/doctest.h>
+
+using namespace persimmon;
+using namespace persimmon::tests;
+using std::chrono::milliseconds;
+
+namespace {
+
+using Fixture = ForwarderFixture;
+
+std::string answerWith(const std::string &fields, int status = 200)
+{
+    return makeResponse("body", "sig", fields, status);
+}
+
+} // namespace
+
+// Guards against a limit of zero, without end or of nonsense that takes an upstream out of service.
+TEST_CASE_FIXTURE(Fixture, "invalid limits of an upstream are ignored and counted")
+{
+    std::string fields;
+    const RawUpstream upstream([&fields](const std::string &) {
+        return RawResponse{answerWith(fields), false};
+    });
+    addUpstream("s", "u1", upstream);
+    start();
+    int invalid = 0;
+    for (const std::string value :
+         {"-1", "0", "0.0", "nan", "inf", "abc", "", "1e400", "2000000", "5 5", "5,5", "0x10"}) {
+        CAPTURE(value);
+        fields = "X-Limit: " + value + "\r\n";
+        CHECK(statusOf(call("/s/")) == 200);
+        CHECK_FALSE(services.restrictions().isLimited("u1"));
+        ++invalid;
+        CHECK(metrics.format().find("persimmon_invalid_notices_total " + std::to_string(invalid))
+              != std::string::npos);
+    }
+    fields = "X-Limit: 5\r\nX-Limit: 7\r\n";
+    CHECK(statusOf(call("/s/")) == 200);
+    CHECK_FALSE(services.restrictions().isLimited("u1"));
+    fields = "X-Limit: 5.5\r\n";
+    CHECK(statusOf(call("/s/")) == 200);
+    CHECK(services.restrictions().ownRate("u1") == 5.5);
+}
+
+// Guards against a limit that a response of another upstream, or a broken one, starts or ends.
+TEST_CASE_FIXTURE(Fixture, "responses that are not the upstream's own say nothing of it")
+{
+    std::string bytes;
+    const RawUpstream upstream([&bytes](const std::string &) { return RawResponse{bytes, true}; });
+    addUpstream("s", "u1", upstream);
+    start();
+    const std::string limit = "X-Limit: 1\r\nX-Leaving: 1\r\n";
+    const auto another = makeResponse("", "", limit + "X-Not-Run: 1\r\n", 421);
+    for (const auto &response :
+         {answerWith("X-Id: another\r\n" + limit), another, makeResponse("body", "", limit),
+          answerWith(limit).substr(0, answerWith(limit).size() - 1),
+          "HTTP/1.1 102 Processing\r\n" + limit + "\r\n" + answerWith("")}) {
+        CAPTURE(response);
+        bytes = response;
+        call("/once/", "POST");
+        CHECK(services.restrictions().size() == 0);
+        // The upstream counts as replaced or avoided for a time.
+        registry.remove("u1", runtime.clock().now());
+    }
+}
--- a/tests/state/test_service_scheduler.cpp
+++ b/tests/state/test_service_scheduler.cpp
@@ -379,7 +379,9 @@
         replicas.onStarted(name);
         replicas.onEnded(name, result, 1, latency, TimePoint{});
     };
-    const auto choose = [&] { return replicas.choose(1, {}, TimePoint{}, true).upstream.name; };
+    ReplicaSet::Purpose probing;
+    probing.mayProbe = true;
+    const auto choose = [&] { return replicas.choose(1, {}, TimePoint{}, probing).upstream.name; };
     for (int i = 0; i < 200; ++i)
         execute(i % 2 == 0 ? "a" : "b", milliseconds(i % 2 == 0 ? 5 : 6), AttemptEnd::Answered);
     CHECK(choose() == "a");
