Send nothing to an upstream that says that it is leaving

What upstreams see: requests go on after they have said in their responses that they shut down, until the store says so too (DRAIN counts from the first response that the host has passed on).

Change: an upstream that says so is no longer usable on this host, and by gossip on the others, until a new incarnation is registered. An expired or returning registration of the same incarnation does not change that.

--- a/state/replica_set.cpp
+++ b/state/replica_set.cpp
@@ -106,7 +106,8 @@
 
 bool ReplicaSet::isUsable(const Replica &replica, TimePoint now) const
 {
-    return replica.available && now >= replica.replacedUntil;
+    const bool leaving = restrictions_ && restrictions_->isLeaving(replica.host.name);
+    return replica.available && now >= replica.replacedUntil && !leaving;
 }
 
 bool ReplicaSet::accepts(const Replica &replica, const Purpose &purpose, TimePoint now) const
--- a/state/upstream_restrictions.cpp
+++ b/state/upstream_restrictions.cpp
@@ -131,6 +131,8 @@
     if (found == upstreams_.end())
         return now;
     const auto &known = found->second;
+    if (known.report.leaving)
+        return TimePoint::max();
     if (known.report.requestLimit <= 0)
         return now;
     auto bucket = known.bucket;
--- a/tests/forward/test_upstream_notices.cpp
+++ b/tests/forward/test_upstream_notices.cpp
@@ -66,3 +66,17 @@
         registry.remove("u1", runtime.clock().now());
     }
 }
+
+// Guards against requests to an upstream that shuts down while its registration says nothing of it.
+TEST_CASE_FIXTURE(Fixture, "an upstream that says that it is leaving gets no further request")
+{
+    const RawUpstream leaving(respondWith(answerWith("X-Leaving: 1\r\n")));
+    const RawUpstream other(respondWith(answerWith("")));
+    addUpstream("s", "u1", leaving);
+    addUpstream("s", "u2", other);
+    start();
+    for (int i = 0; i < 40; ++i)
+        CHECK(statusOf(call("/s/")) == 200);
+    CHECK(leaving.requests().size() <= 1);
+    CHECK(other.requests().size() >= 39);
+}
--- a/tests/state/test_upstream_restrictions.cpp
+++ b/tests/state/test_upstream_restrictions.cpp
@@ -185,6 +185,29 @@
     CHECK(startAll(restrictions, now + milliseconds(4), seconds(1)) == 1000);
 }
 
+// Guards against an upstream that a restart leaves limited, paused or leaving, and against the
+// response of another upstream at its address.
+TEST_CASE("restrictions belong to one incarnation, and end with an answer of that upstream only")
+{
+    UpstreamRestrictions restrictions;
+    restrictions.onRegistered(Name, 1, Start);
+    auto notice = limited(1);
+    notice.leaving = true;
+    notice.pause = milliseconds(10'000);
+    restrictions.onNotice(Name, notice, Start, Start);
+    restrictions.onNotice(Name, UpstreamNotice(), Start + seconds(1), Start + seconds(1));
+    CHECK(restrictions.isLimited(Name));
+    CHECK(restrictions.nextStart(Name, Priority::Critical, Start) == TimePoint::max());
+    restrictions.onRegistered(Name, 1, Start + seconds(1));
+    CHECK(restrictions.isLeaving(Name));
+    restrictions.onRegistered(Name, 2, Start + seconds(1));
+    CHECK_FALSE(restrictions.isLeaving(Name));
+    CHECK(mayStart(restrictions, Start + seconds(1)));
+    // Reports on the earlier incarnation are outdated.
+    restrictions.merge({{Name, 1, 9, 1, true}}, "peer", Start + seconds(2));
+    CHECK_FALSE(restrictions.isLeaving(Name));
+}
+
 // Guards against less urgent requests that use up the limit before urgent ones arrive, and against
 // urgent ones that leave nothing.
 TEST_CASE("urgent requests come first, and others are still sent")
