Send nothing to an upstream for the time that its 503 states

What upstreams see: a 503 with Retry-After is one more refusal; up to four retries go on, and the next requests come as before. What callers see: they are told to come back after 52 to 79 ms, when the upstream asked for 30 s.

Change: the host sends nothing to the upstream until the end of the longest stated pause. The pause is this host's alone, as the upstream answers each host by itself. Requests that no other upstream accepts are rejected at once with the time at which the pause ends.

Before: 10 of 10 rejections with a Retry-After below 0.08 s in place of 30, and more than one request; one request now (test_forward "an upstream that turns requests away*").

--- a/state/upstream_restrictions.cpp
+++ b/state/upstream_restrictions.cpp
@@ -133,12 +133,13 @@
     const auto &known = found->second;
     if (known.report.leaving)
         return TimePoint::max();
+    const auto paused = std::max(now, known.pausedUntil);
     if (known.report.requestLimit <= 0)
-        return now;
+        return paused;
     auto bucket = known.bucket;
     const auto rate = rateOf(known);
     bucket.setRate(rate, now);
-    return bucket.timeOf(1 + reserveFor(priority, rate, now), now);
+    return std::max(paused, bucket.timeOf(1 + reserveFor(priority, rate, now), now));
 }
 
 void UpstreamRestrictions::onStarted(const std::string &upstream, TimePoint now)
--- a/tests/forward/test_upstream_notices.cpp
+++ b/tests/forward/test_upstream_notices.cpp
@@ -67,6 +67,21 @@
     }
 }
 
+// Guards against requests to an upstream that has asked for a pause, and against a request that
+// waits until its deadline in place of a rejection.
+TEST_CASE_FIXTURE(Fixture, "an upstream that turns requests away for a time gets none")
+{
+    const RawUpstream upstream(respondWith(answerWith("X-Not-Run: 1\r\nRetry-After: 30\r\n", 503)));
+    addUpstream("s", "u1", upstream);
+    start();
+    for (int i = 0; i < 10; ++i) {
+        const auto response = call("/s/");
+        CHECK(statusOf(response) == 503);
+        CHECK(std::stod(fieldOf(response, "Retry-After")) >= 29);
+    }
+    CHECK(upstream.requests().size() == 1);
+}
+
 // Guards against requests to an upstream that shuts down while its registration says nothing of it.
 TEST_CASE_FIXTURE(Fixture, "an upstream that says that it is leaving gets no further request")
 {
--- a/tests/state/test_upstream_restrictions.cpp
+++ b/tests/state/test_upstream_restrictions.cpp
@@ -208,6 +208,22 @@
     CHECK_FALSE(restrictions.isLeaving(Name));
 }
 
+// Guards against a request to an upstream that has asked for a pause, and against a shorter pause
+// that ends a longer one.
+TEST_CASE("a paused upstream gets no request until the end of the longest pause")
+{
+    UpstreamRestrictions restrictions;
+    auto notice = silent();
+    notice.pause = milliseconds(3000);
+    restrictions.onNotice(Name, notice, Start, Start);
+    notice.pause = milliseconds(100);
+    restrictions.onNotice(Name, notice, Start, Start + milliseconds(50));
+    restrictions.onNotice(Name, silent(), Start + milliseconds(60), Start + milliseconds(70));
+    CHECK(restrictions.nextStart(Name, Priority::Critical, Start + seconds(1))
+          == Start + milliseconds(3000));
+    CHECK(mayStart(restrictions, Start + milliseconds(3000)));
+}
+
 // Guards against less urgent requests that use up the limit before urgent ones arrive, and against
 // urgent ones that leave nothing.
 TEST_CASE("urgent requests come first, and others are still sent")
