Answer all requests before a stopped host ends

What callers see: in a planned stop, requests that arrive late on kept connections are taken and passed on, and cut without an answer when the host ends, among them requests that may not be repeated (LOST).

Cause: the host serves until 0.6 of the grace period, with deadlines that reach beyond its end at 0.92; nothing told requests of that end.

Change: from the signal on, the forwarder knows when all requests must be answered (0.86 of the grace period). A request that may not be repeated is refused at once, with 503 and a time to come back, if its deadline is later; one that may be repeated is taken if twice its objective fits. What is still under way then gets a partial answer or 504 in place of a cut connection.

--- a/forward/attempt_trace.h
+++ b/forward/attempt_trace.h
@@ -4,6 +4,7 @@
 #include "transport/transport.h"
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <set>
 #include <string>
@@ -19,6 +20,8 @@
     state::CrashGuard guard;
     /// Attempts that wait until a trial has ended.
     std::set<std::shared_ptr<transport::AsyncAutoResetEvent>> waiting;
+    /// Wakes the coroutine that answers the caller.
+    std::function<void()> wake = [] {};
     /// Whether the caller was answered or has left.
     bool finished = false;
 
--- a/forward/request_forwarder.cpp
+++ b/forward/request_forwarder.cpp
@@ -105,21 +105,52 @@
     if (context.request->callerTimeout)
         time = std::min<transport::Duration>(time, *context.request->callerTimeout);
     context.deadline = context.request->receivedAt + time;
+    if (!fitsBeforeStop(context))
+        co_return refuse(context, "shutting_down", MinRetryAfter);
+    context.deadline = std::min(context.deadline, stopAt_);
     const auto quarantine =
             crashes_.quarantineTimeLeft(context.request->fingerprint, runtime_.clock().now());
     if (quarantine)
         co_return refuse(context, "quarantined", *quarantine);
     const auto served = context.request;
     const auto trace = context.trace;
+    active_.insert(trace);
     CallerResponse response;
     if (context.route->isGather())
         response = co_await serveGather(std::move(context));
     else
         response = co_await serveSingle(std::move(context));
+    active_.erase(trace);
     finishAttempts(*served, *trace);
     co_return response;
 }
 
+bool RequestForwarder::fitsBeforeStop(const RequestContext &context) const
+{
+    if (stopAt_ == transport::TimePoint::max())
+        return true;
+    // A request that may be repeated is accepted if it is likely to fit: it can be sent again after
+    // an answer without a result.
+    constexpr int GoalFactor = 2;
+    const auto now = runtime_.clock().now();
+    const auto longest = context.deadline - now;
+    const auto likely = std::min<transport::Duration>(longest, context.route->goal * GoalFactor);
+    return now + (context.route->idempotent ? likely : longest) <= stopAt_;
+}
+
+void RequestForwarder::finishBy(transport::TimePoint time)
+{
+    stopAt_ = time;
+    runtime_.spawn(wakeAllAt(time));
+}
+
+asio::awaitable<void> RequestForwarder::wakeAllAt(transport::TimePoint time)
+{
+    co_await runtime_.clock().sleep(time - runtime_.clock().now());
+    for (const auto &trace : active_)
+        trace->wake();
+}
+
 asio::awaitable<bool>
 RequestForwarder::awaitPermission(std::shared_ptr<const ForwardRequest> request,
                                   std::shared_ptr<AttemptTrace> trace, std::string service,
@@ -269,15 +300,18 @@
         pendingReply->reply = std::move(reply);
         pendingReply->event.notify();
     };
-    context.monitor->onDisconnect = [pendingReply] { pendingReply->event.notify(); };
+    context.trace->wake = [pendingReply] { pendingReply->event.notify(); };
+    context.monitor->onDisconnect = context.trace->wake;
     executor.submit(std::move(job));
-    while (!pendingReply->reply && !context.monitor->disconnected
+    const auto isStopped = [this] { return runtime_.clock().now() >= stopAt_; };
+    while (!pendingReply->reply && !context.monitor->disconnected && !isStopped()
            && runtime_.clock().now() < context.deadline)
         co_await pendingReply->event.waitUntil(context.deadline);
     context.monitor->onDisconnect = [] {};
     if (!pendingReply->reply) {
         executor.cancel(id);
-        co_return fail(context, 504, context.monitor->disconnected ? "caller_gone" : "deadline");
+        const auto *reason = isStopped() ? "shutting_down" : "deadline";
+        co_return fail(context, 504, context.monitor->disconnected ? "caller_gone" : reason);
     }
     co_return makeSingleResponse(context, service, *pendingReply->reply);
 }
@@ -350,7 +384,8 @@
                           + std::max(route.goal - options_.returnLatency, route.goal / 2);
     policy.deadline = context.deadline - options_.returnLatency;
     const auto gather = std::make_shared<PendingGather>(co_await asio::this_coro::executor, policy);
-    context.monitor->onDisconnect = [gather] { gather->event.notify(); };
+    context.trace->wake = [gather] { gather->event.notify(); };
+    context.monitor->onDisconnect = context.trace->wake;
     gather->pending.resize(shards.size());
     for (std::size_t index = 0; index < shards.size(); ++index) {
         auto job = makeJob(context);
@@ -367,6 +402,7 @@
     while (gather->run.outcome() == state::GatherOutcome::Waiting
            && !context.monitor->disconnected) {
         co_await gather->event.waitUntil(gather->run.nextTimeout());
+        gather->run.endBy(stopAt_);
         gather->run.onTimer(runtime_.clock().now());
     }
     context.monitor->onDisconnect = [] {};
--- a/forward/request_forwarder.h
+++ b/forward/request_forwarder.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace persimmon::forward {
@@ -46,6 +47,10 @@
     /// its service.
     void setExtraLoadTokens(double tokens) { options_.extraLoadTokens = tokens; }
 
+    /// Answers all requests by @p time, since the process ends soon after it. From now on, requests
+    /// that may take longer are refused.
+    void finishBy(transport::TimePoint time);
+
     /// @return the active configuration; null if none was received yet.
     const std::shared_ptr<const state::RouteTable> &routes() const { return routes_; }
 
@@ -79,6 +84,9 @@
 
     boost::asio::awaitable<CallerResponse> serveSingle(RequestContext context);
     boost::asio::awaitable<CallerResponse> serveGather(RequestContext context);
+    /// @return whether a new request may be completed before the time of finishBy().
+    bool fitsBeforeStop(const RequestContext &context) const;
+    boost::asio::awaitable<void> wakeAllAt(transport::TimePoint time);
     dispatch::ServiceJob makeJob(const RequestContext &context);
     boost::asio::awaitable<state::AttemptResult>
     runAttempt(std::shared_ptr<const ForwardRequest> request, std::shared_ptr<AttemptTrace> trace,
@@ -116,6 +124,8 @@
     ForwarderOptions options_;
     std::shared_ptr<const state::RouteTable> routes_;
     std::map<std::string, state::WeightedSplit> splits_;
+    std::set<std::shared_ptr<AttemptTrace>> active_;
+    transport::TimePoint stopAt_ = transport::TimePoint::max();
     std::uint64_t nextId_ = 1;
 };
 
--- a/host/host_daemon.cpp
+++ b/host/host_daemon.cpp
@@ -14,6 +14,8 @@
 constexpr std::size_t MaxDirectoryEntries = 64;
 /// Fraction of the grace period for which idle connections of callers stay open during shutdown.
 constexpr double IdleGraceFraction = 0.6;
+/// Fraction of the grace period after which all requests are answered.
+constexpr double FinishGraceFraction = 0.86;
 /// Fraction of the grace period after which the process exits even if requests are active.
 constexpr double MaxGraceFraction = 0.92;
 /// Sub-requests per second that one core executes; see docs/CAPACITY.md.
@@ -439,10 +441,12 @@
     transport::logInfo(Part, "stopping",
                        {{"active", std::to_string(frontendServer_.activeRequestCount())}});
     updatePhase();
-    const auto gracePeriod = std::chrono::duration<double>(options_.gracePeriod);
-    co_await frontendServer_.drain(
-            std::chrono::duration_cast<transport::Duration>(gracePeriod * IdleGraceFraction),
-            std::chrono::duration_cast<transport::Duration>(gracePeriod * MaxGraceFraction));
+    const auto partOfGrace = [this](double fraction) {
+        const auto gracePeriod = std::chrono::duration<double>(options_.gracePeriod);
+        return std::chrono::duration_cast<transport::Duration>(gracePeriod * fraction);
+    };
+    forwarder_.finishBy(runtime_.clock().now() + partOfGrace(FinishGraceFraction));
+    co_await frontendServer_.drain(partOfGrace(IdleGraceFraction), partOfGrace(MaxGraceFraction));
     transport::logInfo(Part, "stopped",
                        {{"active", std::to_string(frontendServer_.activeRequestCount())}});
     runtime_.requestStop();
--- a/state/gather_run.cpp
+++ b/state/gather_run.cpp
@@ -49,6 +49,12 @@
     decide(now);
 }
 
+void GatherRun::endBy(TimePoint end)
+{
+    policy_.softDeadline = std::min(policy_.softDeadline, end);
+    policy_.deadline = std::min(policy_.deadline, end);
+}
+
 void GatherRun::decide(TimePoint now)
 {
     softDeadlinePassed_ = softDeadlinePassed_ || now >= policy_.softDeadline;
--- a/state/gather_run.h
+++ b/state/gather_run.h
@@ -56,6 +56,9 @@
     /// Handles a timeout; see nextTimeout().
     void onTimer(TimePoint now);
 
+    /// Shortens the time for the request to @p end.
+    void endBy(TimePoint end);
+
     GatherOutcome outcome() const { return outcome_; }
 
     /// @return the time at which onTimer() must be called while the outcome is Waiting.
