Test responses whose head breaks off

Reported elsewhere: an upstream ended in the middle of the head, and callers got 200 with an empty or short body.

Cut at every byte of heads without a length, with the length after the cut, of 204, 304, 404 and interim responses, for POST and HEAD, as a part of a gathered request (test_forward) and between hosts and from the store (test_transport): neither a success nor a refusal, the part is left out, the exchange fails.

--- a/tests/forward/test_misbehaving_upstreams.cpp
+++ b/tests/forward/test_misbehaving_upstreams.cpp
@@ -74,6 +74,19 @@
                     + body.substr(8) + "\r\n0\r\n\r\n"};
 }
 
+/// Heads of responses that are complete without a body, or whose body ends with the connection.
+std::vector<std::string> headsWithoutLength()
+{
+    const std::string fields = "X-Sign: sig\r\nX-Own: kept\r\n";
+    return {"HTTP/1.1 200 OK\r\n" + fields + "Connection: close\r\n\r\n",
+            "HTTP/1.1 204 No Content\r\n" + fields + "\r\n",
+            "HTTP/1.1 304 Not Modified\r\n" + fields + "\r\n",
+            "HTTP/1.1 404 Not Found\r\n" + fields + "Connection: close\r\n\r\n",
+            "HTTP/1.1 200 OK\r\n" + fields + "Content-Length: 0\r\n\r\n",
+            "HTTP/1.1 100 Continue\r\nX-Sign: sig\r\n\r\nHTTP/1.1 200 OK\r\n" + fields
+                    + "Content-Length: 4\r\n\r\n"};
+}
+
 } // namespace
 
 // Guards against a success that is incomplete, a second execution, and a refusal, which promises
@@ -96,6 +109,47 @@
     }
 }
 
+// Guards against an empty or short body that is framed as complete because the upstream ended in
+// the middle of the head, also where no length or body follows.
+TEST_CASE_FIXTURE(Fixture, "a head that breaks off anywhere is neither a success nor a refusal")
+{
+    RawResponse broken;
+    const RawUpstream upstream([&broken](const std::string &) { return broken; });
+    addUpstream("s", "u1", upstream);
+    start();
+    for (const auto &head : headsWithoutLength()) {
+        for (std::size_t length = 0; length < head.size(); ++length) {
+            CAPTURE(head.substr(0, length));
+            broken = {head.substr(0, length), true};
+            broken.reset = length % 2 == 1;
+            CHECK(statusOf(call("/once/", "POST")) == 502);
+            CHECK(statusOf(call("/once/", "HEAD")) == 502);
+        }
+    }
+}
+
+// Guards against an empty part that counts as complete because the upstream ended in the middle of
+// the head.
+TEST_CASE_FIXTURE(Fixture, "a part whose head breaks off anywhere is left out of a merged response")
+{
+    RawResponse broken;
+    const RawUpstream first(
+            respondWith(makeResponse(std::string(state::RecordBytes, 'a'), "sig0")));
+    const RawUpstream second([&broken](const std::string &) { return broken; });
+    addUpstream("p0", "u1", first);
+    addUpstream("p1", "u2", second);
+    start();
+    for (const auto &head : headsWithoutLength()) {
+        for (std::size_t length = 0; length < head.size(); ++length) {
+            CAPTURE(head.substr(0, length));
+            broken = {head.substr(0, length), true};
+            const auto merged = call("/g/");
+            CHECK(fieldOf(merged, "X-Missing") == "1");
+            CHECK(fieldOf(merged, "X-Parts") == "sig0");
+        }
+    }
+}
+
 // Guards against a part that is short by some records and counts as complete.
 TEST_CASE_FIXTURE(Fixture, "a part that breaks off anywhere is left out of a merged response")
 {
--- a/tests/transport/test_http.cpp
+++ b/tests/transport/test_http.cpp
@@ -196,3 +196,26 @@
     CHECK(valueOf(good)["value"].asInt() == 42);
     CHECK_FALSE(isOk(call("missing")));
 }
+
+// Guards against a response of a peer or of the store that counts as complete and empty because its
+// sender ended in the middle of the head.
+TEST_CASE("a response whose head breaks off anywhere is an error")
+{
+    Runtime runtime(1);
+    runtime.start();
+    const std::string head = "HTTP/1.1 200 OK\r\nX-Own: kept\r\nConnection: close\r\n\r\n";
+    std::string broken;
+    const tests::RawUpstream upstream([&broken](const std::string &) {
+        return tests::RawResponse{broken, true};
+    });
+    const auto endpoint = valueOf(parseEndpoint(upstream.address()));
+    for (std::size_t length = 0; length < head.size(); ++length) {
+        CAPTURE(head.substr(0, length));
+        broken = head.substr(0, length);
+        const auto connection = std::make_shared<HttpConnection>(runtime.makeStrand());
+        REQUIRE(isOk(await(runtime, connection->connect(endpoint, 1s))));
+        HttpRequest request("GET", "/", "");
+        CHECK_FALSE(isOk(await(runtime, connection->send(std::move(request), 1s))));
+    }
+    runtime.stop();
+}
