Refuse a gathered request only if no shard has executed it

What callers see: 503, which promises that a request has not run, although a shard was executing it or had lost it. Found in the log of the crashing request: outcome=refused reason=too_few_shards lost_upstreams=a2.

Cause: once too few shards could succeed, the replies so far decided between 503 and 502; shards that were still executing the request did not count.

Change: the trace of a request knows whether an attempt is under way or may have executed; only without either is a gathered request refused, else it fails with 502.

Before: 503 in place of 502 (test_forward "a gathered request that a shard is executing is not refused"). Also adds tests over real processes for pauses and shutdowns that upstreams state.

--- a/forward/request_forwarder.cpp
+++ b/forward/request_forwarder.cpp
@@ -248,8 +248,11 @@
     }
     const auto startedAt = runtime_.clock().now();
     ++trace->attempts;
+    ++trace->running;
     trace->guard.onStarted(upstream.service);
     auto result = co_await client_.execute(key, upstream, request, deadline, idempotent);
+    --trace->running;
+    trace->mayHaveExecuted = trace->mayHaveExecuted || state::mayHaveExecuted(result);
     onAttemptEnded(*request, *trace, upstream, result.end);
     const bool isExpected =
             result.end == state::AttemptEnd::Answered || result.end == state::AttemptEnd::Cancelled;
@@ -419,9 +422,10 @@
                                                     const state::GatherRun &run)
 {
     const auto parts = std::to_string(run.partCount());
-    if (run.outcome() == state::GatherOutcome::Refused)
+    const bool refused = run.outcome() == state::GatherOutcome::Refused;
+    if (refused && context.trace->isUnexecuted())
         return refuse(context, "too_few_shards", DefaultRetryAfter);
-    if (run.outcome() == state::GatherOutcome::Failed) {
+    if (refused || run.outcome() == state::GatherOutcome::Failed) {
         const bool late = runtime_.clock().now() + options_.returnLatency >= context.deadline;
         return fail(context, late ? 504 : 502,
                     "too_few_parts: " + parts + " received; missing "
--- a/state/scheduled_sub_request.cpp
+++ b/state/scheduled_sub_request.cpp
@@ -4,7 +4,7 @@
 
 bool ScheduledSubRequest::recordAttemptEnd(const std::string &upstream, AttemptResult &result)
 {
-    bool executed = false;
+    const bool executed = state::mayHaveExecuted(result);
     const bool unsent = result.end == AttemptEnd::NotWritten || result.end == AttemptEnd::Withheld;
     if (unsent)
         unreached.insert(upstream);
@@ -18,18 +18,15 @@
     case AttemptEnd::TimedOut:
     case AttemptEnd::Cancelled:
         lastError = protocol::SubError::DeadlineExceeded;
-        executed = result.written;
         break;
     case AttemptEnd::Lost:
     case AttemptEnd::Dropped:
     case AttemptEnd::Oversized:
         lastError = protocol::SubError::ConnectionLost;
-        executed = true;
         break;
     case AttemptEnd::Failed:
         lastError = protocol::SubError::UpstreamFailed;
         upstreamFailure = std::move(result.answer);
-        executed = true;
         break;
     case AttemptEnd::Withheld:
         lastError = protocol::SubError::Quarantined;
--- a/state/scheduler_actions.h
+++ b/state/scheduler_actions.h
@@ -92,6 +92,9 @@
     UpstreamNotice notice = {};
 };
 
+/// @return whether the upstream may have executed the request of an attempt with this result.
+bool mayHaveExecuted(const AttemptResult &result);
+
 /// Reason for which an attempt is started.
 enum class AttemptKind { Primary, Hedge, Retry };
 
--- a/tests/forward/test_misbehaving_upstreams.cpp
+++ b/tests/forward/test_misbehaving_upstreams.cpp
@@ -323,3 +323,31 @@
     }
     CHECK(crashes.crashCount(state::requestFingerprint("GET", "h", "/g/", "")) == 0);
 }
+
+// Guards against a refusal, which promises that nothing was executed, while another shard executes
+// the request.
+TEST_CASE_FIXTURE(Fixture, "a gathered request that a shard is executing is not refused")
+{
+    config.routes.back().gather.minFraction = 1;
+    const RawUpstream slow([](const std::string &) {
+        return RawResponse{makeResponse("", "sig"), false, milliseconds(300)};
+    });
+    const RawUpstream full(respondWith(makeResponse("", "", "X-Not-Run: 1\r\n", 503)));
+    addUpstream("p0", "u1", slow);
+    addUpstream("p1", "u2", full);
+    start();
+    CHECK(statusOf(call("/g/")) == 502);
+    CHECK(slow.requests().size() == 1);
+}
+
+// Guards against a failure that promises nothing where all shards have said that they did not run
+// the request.
+TEST_CASE_FIXTURE(Fixture, "a gathered request that no shard has executed is refused")
+{
+    const RawUpstream first(respondWith(makeResponse("", "", "X-Not-Run: 1\r\n", 503)));
+    const RawUpstream second(respondWith(makeResponse("", "", "X-Not-Run: 1\r\n", 503)));
+    addUpstream("p0", "u1", first);
+    addUpstream("p1", "u2", second);
+    start();
+    CHECK(statusOf(call("/g/")) == 503);
+}
--- a/tests/system/test_upstream_restrictions.cpp
+++ b/tests/system/test_upstream_restrictions.cpp
@@ -229,3 +229,42 @@
                   + rig.upstreams().countBetween("p2", begin, Clock::now())
           > 100);
 }
+
+// Guards against requests to an upstream that has asked each host for a pause.
+TEST_CASE("upstreams that turn requests away for a time get none from any host")
+{
+    constexpr seconds Pause{3};
+    RestrictionRig rig;
+    rig.startCallers("/one/");
+    std::this_thread::sleep_for(seconds(1));
+    rig.upstreams().state("p1", "Retry-After: " + std::to_string(Pause.count()) + "\r\n", true);
+    const auto begin = Clock::now() + PauseReaction;
+    std::this_thread::sleep_for(Pause);
+    CHECK(rig.upstreams().countBetween("p1", begin, Clock::now()) <= PauseSlack * HostCount);
+    CHECK(rig.lateRejectionCount() == 0);
+    CHECK(rig.servedCount() > 0);
+}
+
+// Guards against requests to an upstream that shuts down before the store knows of it.
+TEST_CASE("upstreams that say that they are leaving get no request after the drain time")
+{
+    RestrictionRig rig;
+    rig.startCallers("/one/");
+    std::this_thread::sleep_for(seconds(1));
+    rig.upstreams().state("p1", "Server-Leaving: 1\r\n");
+    std::this_thread::sleep_for(DrainTime);
+    const auto begin = Clock::now();
+    const auto served = rig.servedCount();
+    // Neither an expired nor a returning registration of the same run changes that.
+    rig.cluster().deregisterUpstream("p1");
+    std::this_thread::sleep_for(seconds(1));
+    rig.cluster().registerUpstream("p1", "ready");
+    std::this_thread::sleep_for(seconds(1));
+    CHECK(rig.upstreams().countBetween("p1", begin, Clock::now()) == 0);
+    CHECK(rig.servedCount() > served);
+    rig.upstreams().state("p1", "");
+    rig.cluster().registerRestart("p1");
+    const auto restarted = Clock::now();
+    CHECK(rig.cluster().waitUntil(
+            [&] { return rig.upstreams().countBetween("p1", restarted, Clock::now()) > 0; }));
+}
