Move the accounting of crashes out of the request forwarder

No change of behaviour: test_forward 42 cases and the three system tests of crashing requests pass as before.

--- a/forward/forward.h
+++ b/forward/forward.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "forward/attempt_trace.h"
+#include "forward/crash_gate.h"
 #include "forward/forward_request.h"
 #include "forward/forwarding_client.h"
 #include "forward/frontend_server.h"
--- a/forward/request_forwarder.cpp
+++ b/forward/request_forwarder.cpp
@@ -67,26 +67,16 @@
     return text;
 }
 
-/// @return the names of the first few upstreams, for log messages.
-std::string describeUpstreams(const std::vector<state::LostUpstream> &upstreams)
-{
-    constexpr std::size_t MaxUpstreams = 8;
-    std::vector<std::string> names;
-    for (std::size_t i = 0; i < upstreams.size() && i < MaxUpstreams; ++i)
-        names.push_back(upstreams[i].name);
-    return joinNames(names);
-}
-
 } // namespace
 
 RequestForwarder::RequestForwarder(transport::Runtime &runtime, transport::Metrics &metrics,
                                    ForwardingClient &client, ServiceExecutors &services,
-                                   state::CrashEvidence &crashes, ForwarderOptions options)
+                                   CrashGate &crashGate, ForwarderOptions options)
     : runtime_(runtime),
       metrics_(metrics),
       client_(client),
       services_(services),
-      crashes_(crashes),
+      crashGate_(crashGate),
       options_(std::move(options))
 {
 }
@@ -108,8 +98,7 @@
     if (!fitsBeforeStop(context))
         co_return refuse(context, "shutting_down", MinRetryAfter);
     context.deadline = std::min(context.deadline, stopAt_);
-    const auto quarantine =
-            crashes_.quarantineTimeLeft(context.request->fingerprint, runtime_.clock().now());
+    const auto quarantine = crashGate_.quarantineTimeLeft(*context.request);
     if (quarantine)
         co_return refuse(context, "quarantined", *quarantine);
     const auto served = context.request;
@@ -121,7 +110,7 @@
     else
         response = co_await serveSingle(std::move(context));
     active_.erase(trace);
-    finishAttempts(*served, *trace);
+    crashGate_.onFinished(*served, *trace);
     co_return response;
 }
 
@@ -151,58 +140,6 @@
         trace->wake();
 }
 
-asio::awaitable<bool>
-RequestForwarder::awaitPermission(std::shared_ptr<const ForwardRequest> request,
-                                  std::shared_ptr<AttemptTrace> trace, std::string service,
-                                  transport::TimePoint deadline)
-{
-    const auto event =
-            std::make_shared<transport::AsyncAutoResetEvent>(co_await asio::this_coro::executor);
-    while (!trace->finished && runtime_.clock().now() < deadline) {
-        const auto now = runtime_.clock().now();
-        const auto known = crashes_.knownCrashes(request->fingerprint, service);
-        const auto permission = trace->guard.decide(service, known, now);
-        if (permission != state::AttemptPermission::Wait)
-            co_return permission == state::AttemptPermission::Granted;
-        const auto settledAt = trace->guard.settledAt();
-        trace->waiting.insert(event);
-        co_await event->waitUntil(now < settledAt ? std::min(settledAt, deadline) : deadline);
-        trace->waiting.erase(event);
-    }
-    co_return false;
-}
-
-void RequestForwarder::finishAttempts(const ForwardRequest &request, AttemptTrace &trace)
-{
-    trace.finished = true;
-    trace.wakeWaiting();
-    const auto now = runtime_.clock().now();
-    for (const auto &service : trace.guard.answeredServices())
-        crashes_.onAnswered(request.fingerprint, service, now);
-    const auto unanswered = trace.guard.unansweredLosses();
-    if (unanswered.empty() && !trace.guard.answeredServices().empty())
-        crashes_.onServed(request.fingerprint, now);
-    reportCrashes(request, unanswered);
-}
-
-void RequestForwarder::reportCrashes(const ForwardRequest &request,
-                                     const std::vector<state::LostUpstream> &upstreams)
-{
-    if (upstreams.empty())
-        return;
-    const bool quarantined =
-            crashes_.onLost(request.fingerprint, upstreams, runtime_.clock().now());
-    transport::logWarning(Part,
-                          quarantined ? "quarantined a request that crashes upstreams"
-                                      : "upstreams ended during a request",
-                          {{"request", request.id},
-                           {"fingerprint", state::formatFingerprint(request.fingerprint)},
-                           {"upstreams", describeUpstreams(upstreams)},
-                           {"crashes", std::to_string(crashes_.crashCount(request.fingerprint))}});
-    if (quarantined)
-        options_.onQuarantined();
-}
-
 dispatch::ServiceJob RequestForwarder::makeJob(const RequestContext &context)
 {
     dispatch::ServiceJob job;
@@ -240,7 +177,7 @@
                             {"upstream", upstream.name}});
     }
     const AttemptKey key{action.id, action.attempt};
-    if (!co_await awaitPermission(request, trace, upstream.service, deadline)) {
+    if (!co_await crashGate_.awaitPermission(request, trace, upstream.service, deadline)) {
         transport::logInfo(Part, "attempt withheld",
                            {{"request", request->id},
                             {"fingerprint", state::formatFingerprint(request->fingerprint)},
@@ -252,17 +189,9 @@
         co_return withheld;
     }
     const auto startedAt = runtime_.clock().now();
-    ++trace->attempts;
-    ++trace->running;
-    const auto known = crashes_.knownCrashes(request->fingerprint, upstream.service);
-    const bool repeated = trace->guard.isRepeated(known, startedAt);
-    trace->guard.onStarted(upstream.service, known);
+    const auto target = crashGate_.onAttemptStarted(*request, *trace, upstream);
     auto result = co_await client_.execute(key, upstream, request, deadline, idempotent);
-    --trace->running;
-    trace->mayHaveExecuted = trace->mayHaveExecuted || state::mayHaveExecuted(result);
-    const state::LostUpstream target{upstream.service, upstream.name,
-                                     options_.incarnationOf(upstream.name), repeated};
-    onAttemptEnded(*request, *trace, target, result.end);
+    crashGate_.onAttemptEnded(*request, *trace, target, result);
     const bool isExpected =
             result.end == state::AttemptEnd::Answered || result.end == state::AttemptEnd::Cancelled;
     if (!isExpected) {
@@ -277,21 +206,6 @@
     co_return result;
 }
 
-void RequestForwarder::onAttemptEnded(const ForwardRequest &request, AttemptTrace &trace,
-                                      const state::LostUpstream &target, state::AttemptEnd end)
-{
-    if (end == state::AttemptEnd::Lost)
-        trace.guard.onLost(target, runtime_.clock().now());
-    else if (end == state::AttemptEnd::Answered)
-        trace.guard.onAnswered(target.service);
-    else
-        trace.guard.onEnded(target.service);
-    trace.wakeWaiting();
-    // The other losses were reported when the caller was answered.
-    if (trace.finished && end == state::AttemptEnd::Lost)
-        reportCrashes(request, {target});
-}
-
 asio::awaitable<CallerResponse> RequestForwarder::serveSingle(RequestContext context)
 {
     struct PendingReply
--- a/forward/request_forwarder.h
+++ b/forward/request_forwarder.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "forward/attempt_trace.h"
+#include "forward/crash_gate.h"
 #include "forward/service_executors.h"
 
 #include <cstdint>
@@ -23,11 +23,6 @@
     /// Returns the region of a failure domain, for log lines.
     std::function<std::string(const std::string &failureDomain)> regionOf =
             [](const std::string & /*failureDomain*/) { return std::string(); };
-    /// Returns the start of the process of an upstream; 0 if unknown.
-    std::function<std::uint64_t(const std::string &upstream)> incarnationOf =
-            [](const std::string & /*upstream*/) { return 0; };
-    /// Called after a request of this host has led to the quarantine of its fingerprint.
-    std::function<void()> onQuarantined = [] {};
 };
 
 /// Serves the requests of callers: finds the route, forwards the request to one service or to all
@@ -36,8 +31,8 @@
 {
 public:
     RequestForwarder(transport::Runtime &runtime, transport::Metrics &metrics,
-                     ForwardingClient &client, ServiceExecutors &services,
-                     state::CrashEvidence &crashes, ForwarderOptions options);
+                     ForwardingClient &client, ServiceExecutors &services, CrashGate &crashGate,
+                     ForwarderOptions options);
 
     /// Applies a new version of the configuration to subsequent requests. Active requests keep the
     /// version that they started with.
@@ -91,18 +86,6 @@
     boost::asio::awaitable<state::AttemptResult>
     runAttempt(std::shared_ptr<const ForwardRequest> request, std::shared_ptr<AttemptTrace> trace,
                state::StartAttempt action, transport::TimePoint deadline, bool idempotent);
-    /// Waits until the attempt may be sent.
-    /// @return false if it must not be sent.
-    boost::asio::awaitable<bool> awaitPermission(std::shared_ptr<const ForwardRequest> request,
-                                                 std::shared_ptr<AttemptTrace> trace,
-                                                 std::string service,
-                                                 transport::TimePoint deadline);
-    void onAttemptEnded(const ForwardRequest &request, AttemptTrace &trace,
-                        const state::LostUpstream &target, state::AttemptEnd end);
-    /// Ends the attempts that wait, and reports the lost upstreams of a request.
-    void finishAttempts(const ForwardRequest &request, AttemptTrace &trace);
-    void reportCrashes(const ForwardRequest &request,
-                       const std::vector<state::LostUpstream> &upstreams);
     CallerResponse refuse(const RequestContext &context, const std::string &reason,
                           transport::Duration wait);
     CallerResponse fail(const RequestContext &context, int status, const std::string &reason);
@@ -120,7 +103,7 @@
     transport::Metrics &metrics_;
     ForwardingClient &client_;
     ServiceExecutors &services_;
-    state::CrashEvidence &crashes_;
+    CrashGate &crashGate_;
     ForwarderOptions options_;
     std::shared_ptr<const state::RouteTable> routes_;
     std::map<std::string, state::WeightedSplit> splits_;
--- a/host/host_daemon.cpp
+++ b/host/host_daemon.cpp
@@ -69,7 +69,9 @@
       membership_(makeMemberState(options_), options_.remoteHeartbeatTimeout),
       forwardingClient_(runtime, metrics_, hooks_.headerNames),
       services_(context_, registry_, options_.limits),
-      forwarder_(runtime, metrics_, forwardingClient_, services_, crashes_, makeForwarderOptions()),
+      crashGate_(runtime, crashes_, makeCrashGateHooks()),
+      forwarder_(runtime, metrics_, forwardingClient_, services_, crashGate_,
+                 makeForwarderOptions()),
       follower_(runtime, hooks_.store,
                 {[this] {
                      return state::selectStoreSource(membership_.liveMembers(),
@@ -117,6 +119,16 @@
     addGauges();
 }
 
+forward::CrashGateHooks HostDaemon::makeCrashGateHooks()
+{
+    forward::CrashGateHooks hooks;
+    hooks.incarnationOf = [this](const std::string &upstream) {
+        return registry_.incarnationOf(upstream);
+    };
+    hooks.onQuarantined = [this] { exchange_.announce(); };
+    return hooks;
+}
+
 forward::ForwarderOptions HostDaemon::makeForwarderOptions()
 {
     forward::ForwarderOptions result;
@@ -126,10 +138,6 @@
         const auto found = options_.regionByFailureDomain.find(domain);
         return found == options_.regionByFailureDomain.end() ? std::string() : found->second;
     };
-    result.incarnationOf = [this](const std::string &upstream) {
-        return registry_.incarnationOf(upstream);
-    };
-    result.onQuarantined = [this] { exchange_.announce(); };
     return result;
 }
 
--- a/host/host_daemon.h
+++ b/host/host_daemon.h
@@ -31,6 +31,7 @@
     boost::asio::awaitable<void> shutDown();
 
 private:
+    forward::CrashGateHooks makeCrashGateHooks();
     forward::ForwarderOptions makeForwarderOptions();
     void onRecordsChanged(const std::vector<state::StoreRecord> &records);
     /// Applies a decoded record and adds the affected services to @p changedServices.
@@ -67,6 +68,7 @@
     state::CrashEvidence crashes_;
     forward::ForwardingClient forwardingClient_;
     forward::ServiceExecutors services_;
+    forward::CrashGate crashGate_;
     forward::RequestForwarder forwarder_;
     coordination::RecordFollower follower_;
     coordination::PeerExchange exchange_;
--- a/tests/forward/forwarder_fixture.h
+++ b/tests/forward/forwarder_fixture.h
@@ -112,8 +112,9 @@
     forward::ForwardingClient client{runtime, metrics, makeNames()};
     forward::ServiceExecutors services{context, registry, {50, 1, 0}};
     state::CrashEvidence crashes;
-    forward::RequestForwarder forwarder{runtime,  metrics, client,
-                                        services, crashes, {makeNames(), 0.2, ReturnLatency}};
+    forward::CrashGate crashGate{runtime, crashes, {}};
+    forward::RequestForwarder forwarder{runtime,  metrics,   client,
+                                        services, crashGate, {makeNames(), 0.2, ReturnLatency}};
     forward::FrontendServer server{runtime, makeNames(), [this](auto request, auto monitor) {
                                        return forwarder.serve(std::move(request),
                                                               std::move(monitor));
