--- a/misc/check_mutations.sh
+++ b/misc/check_mutations.sh
@@ -6,6 +6,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 misc/build.sh build
+export CMAKE_CXX_COMPILER_LAUNCHER=ccache
 copy=$PWD/build-mutations
 mkdir -p "$copy"
 git archive HEAD | tar -x -C "$copy" --warning=no-timestamp
--- a/misc/sanitize.sh
+++ b/misc/sanitize.sh
@@ -4,6 +4,7 @@
 # sanitizers has its own build directory. JOBS sets the number of parallel build jobs (default 4).
 set -euo pipefail
 cd "$(dirname "$0")/.."
+export CMAKE_CXX_COMPILER_LAUNCHER=ccache
 export UBSAN_OPTIONS=halt_on_error=1:print_stacktrace=1
 
 # build_and_test BUILD_DIRECTORY SANITIZERS MODULE...: builds and runs the tests of the modules.
