Check that the build uses listed packages only

Tools and headers that the sources name must be listed themselves, so that a package that only comes along with another one is reported when it is missing.

--- a/misc/list_build_inputs.sh
+++ b/misc/list_build_inputs.sh
@@ -55,8 +55,10 @@
 
 # Prints the programs that the commands of the target start.
 tools() {
-  run_ninja -t commands "$target" | sed 's/ && /\n/g' | awk '$1 != ":" { print "tool\t" $1 }' | sort -u
-  printf 'tool\t%s\n' "$ninja" "$cmake"
+  {
+    run_ninja -t commands "$target" | sed 's/ && /\n/g' | awk '$1 != ":" { print $1 }' | sort -u | xargs which
+    printf '%s\n' "$ninja" "$cmake" "$compiler"
+  } | sed 's/^/tool\t/'
 }
 
 # library_path NAME: prints the file that the linker takes for -lNAME.
