--- a/misc/install_deps.sh
+++ b/misc/install_deps.sh
@@ -9,6 +9,11 @@
   libjsonrpccpp-dev libjsoncpp-dev libcxxopts-dev libxxhash-dev libmsgpuck-dev
   doctest-dev librapidcheck-dev libyaml-cpp-dev
 )
+# The compiler for the other architecture that the sources must build on.
+case $(dpkg --print-architecture) in
+  arm64) packages+=(g++-x86-64-linux-gnu) ;;
+  *) packages+=(g++-aarch64-linux-gnu) ;;
+esac
 
 missing=()
 for package in "${packages[@]}"; do
