Bound the crash reports in messages between hosts

Cause: GossipTable put every entry that had changed within 10 s into every message, and a gathered request that loses its upstreams adds a report for each shard. With 200 such requests over 40 shards one message was 549,412 bytes, where the target of 4 KB/s leaves 585 to each of seven messages a second. Class of fault: the size of a message follows the number of changes.

Ruled out: only a limit of reports for each request, since the service of each lost upstream decides what the next attempt may do.

--- a/state/crash_evidence.h
+++ b/state/crash_evidence.h
@@ -77,6 +77,9 @@
     static constexpr std::chrono::minutes QuarantineTime{60};
     /// Number of fingerprints that are kept.
     static constexpr std::size_t Capacity = 1024;
+    /// Number of changed reports in each message. With a size of about 70 bytes each, a host spends
+    /// most of its control traffic on them as long as upstreams end under many requests.
+    static constexpr std::size_t ReportsPerMessage = 6;
     /// Reports that arrive within this time after a request was served do not count: the crash was
     /// before that or has another cause.
     static constexpr std::chrono::seconds ServedTime{5};
@@ -133,7 +136,7 @@
     void erase(std::uint64_t fingerprint);
     void makeRoom();
 
-    GossipTable<Key, CrashReport> reports_;
+    GossipTable<Key, CrashReport> reports_{ReportsPerMessage};
     std::map<std::uint64_t, Suspect> suspects_;
     /// Fingerprints that this host has served within ServedTime.
     std::unordered_map<std::uint64_t, TimePoint> servedAt_;
--- a/tests/coordination/test_peer_message.cpp
+++ b/tests/coordination/test_peer_message.cpp
@@ -90,3 +90,27 @@
             decodePeerMessage(R"({"rows":[["a"]],"beats":[],"digest":0,"era":1,"revision":1})")));
     CHECK_FALSE(isOk(decodePeerMessage(R"({"rows":[],"beats":[],"digest":0,"revision":1})")));
 }
+
+// Guards against messages that grow with the number of requests that lost upstreams: the target
+// limits the control traffic of a host to 4 KB/s, in about seven messages.
+TEST_CASE("crash reports of many requests leave messages small")
+{
+    constexpr std::size_t MaxBytesPerSecond = 4096;
+    constexpr std::size_t MessagesPerSecond = 7;
+    const state::TimePoint now{std::chrono::hours(1)};
+    state::CrashEvidence evidence;
+    std::vector<state::LostUpstream> lost;
+    for (int shard = 0; shard < 40; ++shard)
+        lost.push_back({"shard-" + std::to_string(shard), "u" + std::to_string(shard), 1, true});
+    constexpr std::uint64_t Requests = 200;
+    for (std::uint64_t request = 0; request < Requests; ++request)
+        evidence.onLost(~request, lost, now);
+    const auto emptySize = encodePeerMessage({}).size();
+    for (int i = 0; i < 100; ++i) {
+        PeerMessage message;
+        message.crashReports = evidence.select(now, false);
+        CHECK(!message.crashReports.empty());
+        REQUIRE(encodePeerMessage(message).size() - emptySize
+                <= MaxBytesPerSecond / MessagesPerSecond);
+    }
+}
