Take a lost response for a crash only if the upstream refuses connections

Two of 68 hosts alone logged 448 quarantines. Cause: CrashGate took each connection that ended after the request was sent for a crash of the upstream. From 16 to 20 s half of the upstreams reset 4 of 10 responses; a gathered request loses several at once, its retries lose others, which passes the limit of three and the condition that a loss follows others. The request was innocent and was refused for an hour. Each quarantine was also announced at once to eleven peers.

Ruled out: a higher limit (a gathered request loses dozens); clearing by answers of the same upstream (a host sends each upstream a request every few seconds only).

Change: after a loss, the host opens the connection that it needs for the next request anyway. An upstream that accepts it has not ended, so the loss says nothing of the request. A crashed upstream refuses it. Announcements of quarantines are sent once in a round at most.

--- a/forward/crash_gate.cpp
+++ b/forward/crash_gate.cpp
@@ -69,7 +69,8 @@
 {
     --trace.running;
     trace.mayHaveExecuted = trace.mayHaveExecuted || state::mayHaveExecuted(result);
-    if (result.end == state::AttemptEnd::Lost)
+    const bool crashed = result.end == state::AttemptEnd::Lost && !result.acceptsConnections;
+    if (crashed)
         trace.guard.onLost(target, runtime_.clock().now());
     else if (result.end == state::AttemptEnd::Answered)
         trace.guard.onAnswered(target.service);
@@ -77,7 +78,7 @@
         trace.guard.onEnded(target.service);
     trace.wakeWaiting();
     // The other losses were reported when the caller was answered.
-    if (trace.finished && result.end == state::AttemptEnd::Lost)
+    if (trace.finished && crashed)
         report(request, {target});
 }
 
--- a/forward/forwarding_client.cpp
+++ b/forward/forwarding_client.cpp
@@ -116,7 +116,6 @@
 void ForwardingClient::releaseIdle(const std::string &upstream, const ConnectionPtr &connection)
 {
     connection->idleSince = runtime_.clock().now();
-    connection->reused = true;
     idle_[upstream].push_back(connection);
 }
 
@@ -143,6 +142,10 @@
     if (connected)
         result = co_await sendRequest(attempt, upstream.name, request, deadline);
     result.newConnection = opened;
+    if (result.end == state::AttemptEnd::Lost) {
+        const bool accepted = co_await reconnect(attempt, upstream);
+        result.acceptsConnections = accepted;
+    }
     activeAttempts_.erase(key);
     co_return result;
 }
@@ -163,6 +166,18 @@
     co_return true;
 }
 
+asio::awaitable<bool> ForwardingClient::reconnect(ActiveAttemptPtr attempt,
+                                                  protocol::HostRecord upstream)
+{
+    openedConnections_.add();
+    const bool connected = co_await connect(attempt, upstream.address);
+    if (!connected)
+        co_return false;
+    attempt->connection->idleTimeout = DefaultIdleTimeout;
+    releaseIdle(upstream.name, attempt->connection);
+    co_return true;
+}
+
 asio::awaitable<state::AttemptResult>
 ForwardingClient::sendRequest(ActiveAttemptPtr attempt, std::string upstream,
                               std::shared_ptr<const ForwardRequest> request,
@@ -206,6 +221,7 @@
             result.end != state::AttemptEnd::Dropped && result.end != state::AttemptEnd::Replaced;
     if (isOwn)
         result.notice = notice;
+    connection->reused = true;
     if (keepOpen && isOwn)
         releaseIdle(upstream, connection);
     co_return result;
--- a/forward/forwarding_client.h
+++ b/forward/forwarding_client.h
@@ -86,6 +86,9 @@
     ConnectionPtr acquireIdle(const std::string &upstream, bool idempotent);
     void releaseIdle(const std::string &upstream, const ConnectionPtr &connection);
     boost::asio::awaitable<bool> connect(ActiveAttemptPtr attempt, std::string address);
+    /// Replaces the lost connection of an attempt, for the next request to the upstream.
+    /// @return whether the upstream accepted the connection.
+    boost::asio::awaitable<bool> reconnect(ActiveAttemptPtr attempt, protocol::HostRecord upstream);
     boost::asio::awaitable<state::AttemptResult>
     sendRequest(ActiveAttemptPtr attempt, std::string upstream,
                 std::shared_ptr<const ForwardRequest> request, transport::TimePoint deadline);
--- a/host/host_daemon.cpp
+++ b/host/host_daemon.cpp
@@ -125,7 +125,7 @@
     hooks.incarnationOf = [this](const std::string &upstream) {
         return registry_.incarnationOf(upstream);
     };
-    hooks.onQuarantined = [this] { exchange_.announce(); };
+    hooks.onQuarantined = [this] { announceQuarantine(); };
     return hooks;
 }
 
@@ -295,7 +295,17 @@
                               {{"fingerprint", state::formatFingerprint(fingerprint)}});
     }
     if (!quarantined.empty())
-        exchange_.announce();
+        announceQuarantine();
+}
+
+void HostDaemon::announceQuarantine()
+{
+    const auto now = runtime_.clock().now();
+    // The exchanges of each round tell the others soon enough where quarantines come in series.
+    if (now - quarantineAnnouncedAt_ < coordination::PeerExchange::RoundInterval)
+        return;
+    quarantineAnnouncedAt_ = now;
+    exchange_.announce();
 }
 
 void HostDaemon::updateHostShare()
--- a/host/host_daemon.h
+++ b/host/host_daemon.h
@@ -46,6 +46,8 @@
     void setRestrictionHooks();
     void logRestrictions(const state::RestrictionReport &report, const std::string &source);
     void mergeCrashReports(const std::vector<state::CrashReport> &reports);
+    /// Tells peers of a new quarantine at once, unless they were told of another one just before.
+    void announceQuarantine();
     void updateHostShare();
     void updateStoreReachability();
     void updatePhase();
@@ -66,6 +68,7 @@
     state::UpstreamRegistry registry_;
     state::EntryMembership membership_;
     state::CrashEvidence crashes_;
+    transport::TimePoint quarantineAnnouncedAt_{};
     forward::ForwardingClient forwardingClient_;
     forward::ServiceExecutors services_;
     forward::CrashGate crashGate_;
--- a/state/gossip_table.h
+++ b/state/gossip_table.h
@@ -17,13 +17,13 @@
 public:
     using TimePoint = std::chrono::steady_clock::time_point;
 
-    /// Time for which a changed entry is sent; at two exchanges per second it reaches all hosts well
-    /// within it.
+    /// Time for which a changed entry is sent; at two exchanges per second it reaches all hosts
+    /// well within it.
     static constexpr std::chrono::seconds PropagationTime{10};
     /// Default number of changed entries in each message.
     static constexpr std::size_t ChangedEntries = 64;
-    /// Number of messages that contain a changed entry at least if other entries have taken its place
-    /// during its propagation time.
+    /// Number of messages that contain a changed entry at least if other entries have taken its
+    /// place during its propagation time.
     static constexpr std::size_t MinMessages = 4;
     /// Time for which an entry that did not fit into a message waits for the next one.
     static constexpr std::chrono::seconds WaitTime{3};
@@ -114,9 +114,8 @@
                 pending.push_back(&entry);
         }
         const auto count = std::min(pending.size(), all ? EntriesForStart : changedEntries_);
-        std::partial_sort(pending.begin(),
-                          pending.begin() + static_cast<std::ptrdiff_t>(count), pending.end(),
-                          [](const auto *left, const auto *right) {
+        std::partial_sort(pending.begin(), pending.begin() + static_cast<std::ptrdiff_t>(count),
+                          pending.end(), [](const auto *left, const auto *right) {
                               return left->messages < right->messages;
                           });
         for (auto waiting = pending.begin() + static_cast<std::ptrdiff_t>(count);
--- a/state/scheduler_actions.h
+++ b/state/scheduler_actions.h
@@ -87,6 +87,9 @@
     bool written = true;
     /// Whether the attempt opened its connection instead of reusing one.
     bool newConnection = false;
+    /// For Lost: whether the upstream accepted a connection right afterwards, so that its process
+    /// has not ended.
+    bool acceptsConnections = false;
     /// For Answered and Failed: the answer to a forwarded request.
     std::shared_ptr<const protocol::ForwardedResponse> answer = {};
     UpstreamNotice notice = {};
--- a/tests/forward/test_misbehaving_upstreams.cpp
+++ b/tests/forward/test_misbehaving_upstreams.cpp
@@ -2,8 +2,10 @@
 
 #include <doctest/doctest.h>
 
+#include <atomic>
 #include <chrono>
 #include <memory>
+#include <thread>
 
 using namespace persimmon;
 using namespace persimmon::tests;
@@ -324,6 +326,36 @@
     CHECK(crashes.crashCount(state::requestFingerprint("GET", "h", "/g/", "")) == 0);
 }
 
+// Guards against a quarantine by responses that are lost on the way: an upstream that still accepts
+// connections has not crashed.
+TEST_CASE_FIXTURE(Fixture, "requests whose responses are reset are not quarantined")
+{
+    std::atomic<bool> reset = true;
+    const auto handler = [&reset](const std::string &) {
+        RawResponse response;
+        response.reset = reset;
+        if (!reset)
+            response.bytes = makeResponse(std::string(state::RecordBytes, 'a'), "sig");
+        return response;
+    };
+    const RawUpstream first(handler);
+    const RawUpstream second(handler);
+    const RawUpstream third(handler);
+    const RawUpstream fourth(handler);
+    addUpstream("p0", "u1", first);
+    addUpstream("p0", "u2", second);
+    addUpstream("p1", "u3", third);
+    addUpstream("p1", "u4", fourth);
+    start();
+    for (int i = 0; i < 5; ++i) {
+        CHECK(statusOf(call("/g/")) == 502);
+        std::this_thread::sleep_for(2 * state::CrashGuard::SettleTime);
+    }
+    reset = false;
+    const auto response = call("/g/");
+    CHECK_MESSAGE(statusOf(response) == 200, response);
+}
+
 // Guards against a refusal, which promises that nothing was executed, while another shard executes
 // the request.
 TEST_CASE_FIXTURE(Fixture, "a gathered request that a shard is executing is not refused")
