Keep a restarted host live that peers know by an old heartbeat

Cause: relayed heartbeats name no incarnation. One of the earlier life, relayed by a peer that has not heard of the restart, raises the heartbeat that the new incarnation is compared with, and all lower ones are ignored.

Change, without a byte more on the wire: a host that receives a heartbeat of its own that is higher than its own continues above it, as it already supersedes a higher incarnation; a state that a host sends itself is compared with the last one that it sent itself. Changes of other hosts are now timed by the own rounds, since the heartbeat may jump.

--- a/state/entry_membership.cpp
+++ b/state/entry_membership.cpp
@@ -27,6 +27,18 @@
 {
 }
 
+void EntryMembership::advanceHeartbeat()
+{
+    ++self_.heartbeat;
+    ++round_;
+}
+
+void EntryMembership::supersedeHeartbeat(std::uint64_t heartbeat)
+{
+    if (heartbeat > self_.heartbeat)
+        self_.heartbeat = heartbeat + 1;
+}
+
 void EntryMembership::setPhase(EntryPhase phase)
 {
     self_.phase = phase;
@@ -46,32 +58,36 @@
 {
     bool changed = false;
     for (const auto &member : members)
-        changed = mergeMember(member, now) || changed;
+        changed = mergeMember(member, &member == members.data(), now) || changed;
     return changed;
 }
 
-bool EntryMembership::mergeMember(const MemberState &member, TimePoint now)
+bool EntryMembership::mergeMember(const MemberState &member, bool isSender, TimePoint now)
 {
     if (member.control == self_.control) {
         // Peers still relay the state of an earlier incarnation; this one must supersede it.
         if (std::pair(member.incarnation, member.heartbeat)
             > std::pair(self_.incarnation, self_.heartbeat))
             self_.incarnation = member.incarnation + 1;
+        supersedeHeartbeat(member.heartbeat);
         return false;
     }
-    const auto [found, isNew] =
-            peers_.try_emplace(member.control, Peer{member, now, self_.heartbeat});
+    const auto [found, isNew] = peers_.try_emplace(member.control, Peer{member, now, 0, round_});
     if (isNew)
         return true;
     auto &peer = found->second;
-    const auto known = std::pair(peer.state.incarnation, peer.state.heartbeat);
+    const auto known =
+            std::pair(peer.state.incarnation, isSender ? peer.ownHeartbeat : peer.state.heartbeat);
     if (std::pair(member.incarnation, member.heartbeat) <= known)
         return false;
     const bool changed = !peer.live || peer.state.phase != member.phase
                          || peer.state.incarnation != member.incarnation
                          || peer.state.front != member.front
                          || peer.state.storeUnreachable != member.storeUnreachable;
-    peer = {member, now, changed ? self_.heartbeat : peer.changedAtHeartbeat};
+    const bool restarted = peer.state.incarnation != member.incarnation;
+    const auto relayedHeartbeat = restarted ? 0 : peer.ownHeartbeat;
+    const auto ownHeartbeat = isSender ? member.heartbeat : relayedHeartbeat;
+    peer = {member, now, ownHeartbeat, changed ? round_ : peer.changedAtRound};
     return changed;
 }
 
@@ -80,6 +96,9 @@
     std::map<std::uint32_t, const MemberHeartbeat *> byHost;
     for (const auto &heartbeat : heartbeats)
         byHost[heartbeat.host] = &heartbeat;
+    const auto own = byHost.find(hostId(self_.control));
+    if (own != byHost.end())
+        supersedeHeartbeat(own->second->heartbeat);
     for (auto &[control, peer] : peers_) {
         const auto found = byHost.find(hostId(control));
         if (!peer.live || found == byHost.end() || found->second->heartbeat <= peer.state.heartbeat)
@@ -138,7 +157,7 @@
                 peer.state.region == self_.region ? HeartbeatTimeout : remoteHeartbeatTimeout_;
         if (peer.live && now - peer.lastHeartbeatAt > limit) {
             peer.live = false;
-            peer.changedAtHeartbeat = self_.heartbeat;
+            peer.changedAtRound = round_;
             died = true;
         }
     }
@@ -179,7 +198,7 @@
 
 bool EntryMembership::changedRecently(const Peer &peer) const
 {
-    return self_.heartbeat - peer.changedAtHeartbeat <= ChangeSpreadHeartbeats;
+    return round_ - peer.changedAtRound <= ChangeSpreadHeartbeats;
 }
 
 bool EntryMembership::isStable() const
--- a/state/entry_membership.h
+++ b/state/entry_membership.h
@@ -80,14 +80,14 @@
                                                        RemoteHeartbeatTimeout);
 
     /// Increments the heartbeat of this host.
-    void advanceHeartbeat() { ++self_.heartbeat; }
+    void advanceHeartbeat();
     void setPhase(EntryPhase phase);
 
     /// @return whether the state changed.
     bool setStoreUnreachable(bool unreachable);
     void setLoad(std::uint32_t load) { self_.load = load; }
 
-    /// Merges the member states that a peer has sent.
+    /// Merges the member states that a peer has sent, the peer's own first.
     /// @return whether a host appeared, changed its phase or address, lost or regained the store,
     /// or
     ///         restarted.
@@ -145,15 +145,23 @@
     {
         MemberState state;
         TimePoint lastHeartbeatAt;
-        /// Heartbeat of this host when the state last changed, heartbeat and load excepted.
-        std::uint64_t changedAtHeartbeat = 0;
+        /// Heartbeat in the last member state that the host sent itself. That in @c state may be
+        /// higher and of an earlier incarnation, since relayed heartbeats name none.
+        std::uint64_t ownHeartbeat = 0;
+        /// Value of round_ when the state last changed, heartbeat and load excepted.
+        std::uint64_t changedAtRound = 0;
         bool live = true;
     };
 
-    bool mergeMember(const MemberState &member, TimePoint now);
+    /// @param isSender whether the host itself sent its state.
+    bool mergeMember(const MemberState &member, bool isSender, TimePoint now);
+    /// Continues above a heartbeat of an earlier incarnation that peers still relay.
+    void supersedeHeartbeat(std::uint64_t heartbeat);
     bool changedRecently(const Peer &peer) const;
 
     MemberState self_;
+    /// Number of heartbeats of this incarnation.
+    std::uint64_t round_ = 0;
     std::chrono::milliseconds remoteHeartbeatTimeout_;
     std::map<std::string, Peer> peers_;
 };
--- a/tests/coordination/test_peer_gossip.cpp
+++ b/tests/coordination/test_peer_gossip.cpp
@@ -222,6 +222,26 @@
     }
 }
 
+// Guards against a live host that is taken for dead, and not listed to callers, because peers that
+// have not heard of its restart relay the heartbeats of its earlier incarnation.
+TEST_CASE("a host that restarts at once is not taken for dead")
+{
+    constexpr int Regions = 3;
+    constexpr int HostsPerRegion = 8;
+    int lost = 0;
+    for (std::uint32_t seed = 1; seed <= 60; ++seed) {
+        GossipSimulation simulation(Regions, HostsPerRegion, seed);
+        simulation.run(seconds(30));
+        simulation.restart(1);
+        simulation.run(seconds(5));
+        for (int second = 0; second < 15; ++second) {
+            simulation.run(seconds(1));
+            lost += Regions * HostsPerRegion - 1 - simulation.countHostsSeeingLive(1);
+        }
+    }
+    CHECK(lost == 0);
+}
+
 // Simulates a rolling restart. Guards against messages that each carry all member states
 // while the member set of any host differs. The target limits control traffic to 4 KB/s per host.
 TEST_CASE("gossip traffic stays within its limit during a rolling restart")
