Tell hosts within an era what the restored store does not hold

Cause: within an era peers send only changes of that era; what they know from earlier eras went only into complete copies, which such a host does not ask for.

Change: until a copy is reconciled, each of its deltas also holds its records of earlier eras that the store lacks or contradicts; the receiver, if not reconciled itself, orders them as those of a complete copy. Ruled out: complete copies for 4.5 s after each restore, whose size follows the number of upstreams.

Not covered: a host at the same position as its peers hears of it with the next change of the store.

--- a/state/record_mirror.cpp
+++ b/state/record_mirror.cpp
@@ -131,7 +131,42 @@
 
 std::vector<StoreRecord> RecordMirror::apply(const RecordDelta &delta)
 {
-    return delta.isSnapshot ? applyPeerSnapshot(delta) : applyChanges(delta.records, delta.asOf);
+    if (delta.isSnapshot)
+        return applyPeerSnapshot(delta);
+    if (delta.asOf.era != position_.era)
+        return {};
+    auto current = delta.records;
+    std::vector<StoreRecord> earlier;
+    std::copy_if(current.begin(), current.end(), std::back_inserter(earlier),
+                 [this](const auto &record) { return isOfEarlierEra(record); });
+    std::erase_if(current, [this](const auto &record) { return isOfEarlierEra(record); });
+    auto applied = applyEarlierEra(earlier);
+    const auto changed = applyChanges(current, delta.asOf);
+    applied.insert(applied.end(), changed.begin(), changed.end());
+    return applied;
+}
+
+std::vector<StoreRecord> RecordMirror::applyEarlierEra(const std::vector<StoreRecord> &records)
+{
+    std::vector<StoreRecord> applied;
+    // What a reconciled copy lacks of earlier eras was not written again.
+    if (reconciled_)
+        return applied;
+    for (const auto &record : records) {
+        const bool isMissing = record.value && !records_.contains(record.key);
+        if (!applyOne(record))
+            continue;
+        applied.push_back(record);
+        if (isMissing)
+            missing_.insert(record.key);
+    }
+    return applied;
+}
+
+bool RecordMirror::isUnknownToStore(const StoreRecord &record) const
+{
+    return isOfEarlierEra(record)
+           && (missing_.contains(record.key) || doubtful_.contains(record.key));
 }
 
 std::vector<StoreRecord> RecordMirror::applyPeerSnapshot(const RecordDelta &delta)
@@ -247,7 +282,8 @@
         return {recordsForSnapshot(), position_, true, reconciled_};
     RecordDelta delta{{}, position_, false, reconciled_};
     for (const auto &[key, record] : records_) {
-        if (record.era == position_.era && record.revision > position.revision)
+        const bool isNew = record.era == position_.era && record.revision > position.revision;
+        if (isNew || (!reconciled_ && isUnknownToStore(record)))
             delta.records.push_back(record);
     }
     return delta;
--- a/state/record_mirror.h
+++ b/state/record_mirror.h
@@ -79,6 +79,10 @@
     std::vector<StoreRecord> applyComplete(std::vector<StoreRecord> changes,
                                            const StorePosition &asOf);
     std::vector<StoreRecord> withDeletedWrites(const std::vector<StoreRecord> &changes) const;
+    /// Applies records of earlier eras that a peer knows better than the restored store.
+    std::vector<StoreRecord> applyEarlierEra(const std::vector<StoreRecord> &records);
+    /// @return whether the record is of an earlier era and not what the store holds.
+    bool isUnknownToStore(const StoreRecord &record) const;
     bool isOfEarlierEra(const StoreRecord &record) const;
     bool isInStore(const StoreRecord &record) const;
     /// @return tombstones of the records that were in the store and are not in @p stored.
--- a/tests/state/test_record_mirror_restore.cpp
+++ b/tests/state/test_record_mirror_restore.cpp
@@ -37,3 +37,21 @@
     CHECK(fresh.position() == copy.position());
     CHECK(fresh.records() == copy.records());
 }
+
+// Guards against an upstream that is not used because a host started between the restore of the
+// store, which lost its registration, and its next one.
+TEST_CASE("a copy that starts after a restore shows what its peers know and the store has lost")
+{
+    RecordMirror copy;
+    copy.applySnapshot({{"config", 9, "9"}}, {1, 60});
+    copy.reconcile();
+    copy.apply({{"server", 63, "5"}}, {1, 64});
+    copy.applySnapshot({{"config", 9, "9"}}, {2, 62});
+    RecordMirror fresh;
+    fresh.applySnapshot({{"config", 9, "9"}}, {2, 62});
+    copy.apply({{"config", 63, "10"}}, {2, 63});
+    fresh.apply(copy.deltaSince(fresh.position()));
+    CHECK(fresh.records() == copy.records());
+    fresh.reconcile();
+    CHECK(fresh.records().size() == 1);
+}
