Keep an upstream of the soak draining until its last drain ends

Trace, from the printed plan: s2-b has two drains that overlap, 2,053 to 7,212 ms and 2,090 to 9,656 ms. At the end of the first the soak registered the upstream as ready, which hosts obey, while the check counted the second until 9,656 ms. So the stand-in was wrong, not the hosts and not the check.

Change: an upstream is registered as the faults still in progress leave it: deregistered while its address is used by another service, draining while a drain goes on.

--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -281,8 +281,25 @@
     }
 }
 
+bool SoakRun::changesRegistration(FaultKind kind)
+{
+    return kind == FaultKind::AddressReused || kind == FaultKind::UpstreamDrained;
+}
+
+void SoakRun::restoreRegistration(const Fault &fault)
+{
+    auto &active = registrationFaults_[fault.upstream];
+    active.erase(active.find(fault.kind));
+    if (active.contains(FaultKind::AddressReused))
+        return;
+    const bool drains = active.contains(FaultKind::UpstreamDrained);
+    writers_->registerUpstream(fault.upstream, drains ? "draining" : "ready");
+}
+
 void SoakRun::startUpstreamFault(const Fault &fault)
 {
+    if (changesRegistration(fault.kind))
+        registrationFaults_[fault.upstream].insert(fault.kind);
     auto &proxy = *upstreamProxies_.at(fault.upstream);
     switch (fault.kind) {
     case FaultKind::UpstreamDelayed:
@@ -327,8 +344,8 @@
         proxy.setTarget(upstreamAddresses_.at(fault.upstream));
         proxy.setMode(ProxyMode::Pass);
     }
-    if (fault.kind == FaultKind::AddressReused || fault.kind == FaultKind::UpstreamDrained)
-        writers_->registerUpstream(fault.upstream, "ready");
+    if (changesRegistration(fault.kind))
+        restoreRegistration(fault);
     const std::lock_guard lock(mutex_);
     upstreamsDroppingResponses_.erase(fault.upstream);
 }
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -56,6 +56,9 @@
     void endHostFault(const Fault &fault);
     void startUpstreamFault(const Fault &fault);
     void endUpstreamFault(const Fault &fault);
+    static bool changesRegistration(FaultKind kind);
+    /// Registers the upstream as the faults that overlap with the ended one leave it.
+    void restoreRegistration(const Fault &fault);
     void startStoreFault(const Fault &fault);
     void endStoreFault(const Fault &fault);
     void detectExitedProcesses();
@@ -71,6 +74,8 @@
     std::unique_ptr<StoreWriters> writers_;
     std::map<int, std::atomic<int>> incarnations_;
     std::set<int> expectedDown_;
+    /// Faults in progress that change the registration of an upstream.
+    std::map<std::string, std::multiset<FaultKind>> registrationFaults_;
     std::atomic<bool> running_ = true;
     std::atomic<int> successCount_ = 0;
     std::atomic<int> latestConfigVersion_ = 0;
