--- a/forward/request_forwarder.cpp
+++ b/forward/request_forwarder.cpp
@@ -201,6 +201,7 @@
                             {"kind", kind},
                             {"upstream", upstream.name},
                             {"end", std::string(enumName(state::AttemptEndNames, result.end))},
+                            {"accepts_connections", result.acceptsConnections ? "true" : "false"},
                             {"ms", formatMilliseconds(runtime_.clock().now() - startedAt)}});
     }
     co_return result;
