--- /dev/null
+++ b/review/targets.cmake
@@ -0,0 +1,13 @@
+# One program for each case: review/N/case.cpp is review_case_N.
+file(GLOB review_support CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/review/support/*.cpp)
+add_library(persimmon_review STATIC ${review_support} tests/support/raw_http.cpp tests/system/process.cpp)
+target_link_libraries(persimmon_review PUBLIC persimmon_standin)
+file(GLOB review_cases CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/review/[0-9]/case.cpp)
+foreach(source ${review_cases})
+  get_filename_component(directory ${source} DIRECTORY)
+  get_filename_component(number ${directory} NAME)
+  add_executable(review_case_${number} ${source})
+  target_link_libraries(review_case_${number} PRIVATE persimmon_review)
+  list(APPEND review_programs review_case_${number})
+endforeach()
+add_custom_target(review_cases DEPENDS ${review_programs})
