Show that a 503 of an upstream that has run a request is passed on

Cause: a failure without X-Not-Executed counts as run, but is returned with its status, also where that promises that nothing has run.

Change: review/4.

--- /dev/null
+++ b/review/4/case.cpp
@@ -0,0 +1,78 @@
+// A server that has run a request that is not idempotent fails it with 503 and does not state that
+// it has not run.
+#include "review/support/case.h"
+
+using namespace persimmon::review;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr int HostCount = 3;
+constexpr int ServerCount = 2;
+constexpr int ClientCount = 6;
+constexpr std::chrono::seconds PlayTime{15};
+constexpr milliseconds ClientPause{50};
+/// Share of the requests that the grey server fails.
+constexpr double FailureShare = 0.4;
+constexpr unsigned Seed = 5;
+
+/// Makes a server fail part of its requests after it has run them. It stays registered as ready.
+void failPart(ServerOptions &options)
+{
+    const auto random = std::make_shared<std::mt19937>(Seed);
+    const auto mutex = std::make_shared<std::mutex>();
+    options.chooseStatus = [random, mutex](const std::string & /*request*/) {
+        const std::lock_guard lock(*mutex);
+        return std::uniform_real_distribution<double>(0, 1)(*random) < FailureShare ? 503 : 200;
+    };
+}
+
+void runClient(Deployment &deployment, int client, std::chrono::steady_clock::time_point end)
+{
+    const int host = 1 + client % HostCount;
+    for (int number = 0; std::chrono::steady_clock::now() < end; ++number) {
+        const auto id = makeRequestId("c" + std::to_string(client) + "-", number);
+        deployment.call(host, "POST", "/pay/fee", id, "fee of " + id);
+        std::this_thread::sleep_for(ClientPause);
+    }
+}
+
+CaseResult play(Record &record, bool trouble)
+{
+    Deployment deployment(HostCount, record);
+    for (int number = 1; number <= ServerCount; ++number) {
+        ServerOptions options;
+        options.service = "entry-desk";
+        options.id = "desk-" + std::to_string(number);
+        options.failureDomain = Deployment::domainOf(number);
+        if (trouble && number == 1)
+            failPart(options);
+        deployment.addServer(options);
+    }
+    deployment.publish(makeConfig(
+            1,
+            {R"({"name":"pay","host":"h.example","prefix":"/pay/","kind":"non_idempotent",)"
+             R"("deadline_ms":2500,"goal_ms":400,"priority":1,"service":"entry-desk",)"
+             R"("max_attempts":2,"home_regions":[]})"},
+            {"entry-desk"}));
+    if (!deployment.start())
+        return CaseResult::NotRun;
+    const auto end = std::chrono::steady_clock::now() + PlayTime;
+    std::vector<std::thread> clients;
+    for (int client = 0; client < ClientCount; ++client)
+        clients.emplace_back([&deployment, client, end] { runClient(deployment, client, end); });
+    for (auto &client : clients)
+        client.join();
+    const auto report = checkOnce(record);
+    if (report.runs == 0)
+        return CaseResult::NotRun;
+    const bool broken = !report.ranTwice.empty() || !report.refusedAndRun.empty();
+    return broken ? CaseResult::Broken : CaseResult::Held;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    return runCase(argc, argv, play);
+}
