Keep the review's disruptions inside the limits of the site file

Change: each disruption lasts 5 s, several times, or 6.5 s, once; in case 4 one server of eight is grey.

--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -1,6 +1,6 @@
 // A server sends a second copy of a rejection late, where the answer to the next request on the
 // connection is expected, while that request is the next attempt of the rejected one.
-#include "review/support/case.h"
+#include "review/case_result.h"
 
 #include "tests/support/raw_http.h"
 
@@ -15,7 +15,11 @@
 constexpr int HostCount = 3;
 constexpr int ServerCount = 2;
 constexpr int ClientCount = 18;
-constexpr std::chrono::seconds PlayTime{80};
+constexpr std::chrono::seconds PlayTime{55};
+/// Length of a disruption, the time until the next one, and their number.
+constexpr milliseconds DisruptionTime{5000};
+constexpr milliseconds DisruptionPause{3000};
+constexpr int DisruptionCount = 7;
 /// Share of the answers that are sent a second time.
 constexpr double CopyShare = 0.04;
 constexpr unsigned Seed = 7;
@@ -40,20 +44,21 @@
 }
 
 /// Makes a server repeat some of its answers at the point where the next answer is expected.
-void repeatAnswers(Server &server)
+void repeatAnswers(Server &server, const Recurrence &recurrence)
 {
     const auto random = std::make_shared<std::mt19937>(Seed);
     const auto mutex = std::make_shared<std::mutex>();
-    server.setLateBytes([random, mutex](const std::string & /*request*/,
-                                        const std::string &previous) {
+    server.setLateBytes([random, mutex, &recurrence](const std::string & /*request*/,
+                                                     const std::string &previous) {
         const std::lock_guard lock(*mutex);
         const bool repeats = std::uniform_real_distribution<double>(0, 1)(*random) < CopyShare;
-        return repeats ? previous : std::string();
+        return repeats && recurrence.isActive() ? previous : std::string();
     });
 }
 
 CaseResult play(Record &record, bool trouble)
 {
+    Recurrence recurrence(DisruptionTime, DisruptionPause, DisruptionCount);
     Deployment deployment(HostCount, record);
     for (int number = 1; number <= ServerCount; ++number) {
         ServerOptions options;
@@ -64,7 +69,7 @@
         auto &server = deployment.addServer(options);
         // Half of the servers are faulty.
         if (trouble && number == 1)
-            repeatAnswers(server);
+            repeatAnswers(server, recurrence);
     }
     deployment.publish(makeConfig(
             1,
@@ -74,6 +79,7 @@
             {"entry-desk"}));
     if (!deployment.start())
         return CaseResult::NotRun;
+    recurrence.begin();
     const auto end = std::chrono::steady_clock::now() + PlayTime;
     std::vector<std::thread> clients;
     for (int client = 0; client < ClientCount; ++client)
--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -1,5 +1,5 @@
 // A server of one shard fails part of its requests with a status below 500 and a signature.
-#include "review/support/case.h"
+#include "review/case_result.h"
 
 #include "tests/support/raw_http.h"
 
@@ -15,7 +15,9 @@
 constexpr int ShardCount = 4;
 constexpr int ServersPerShard = 2;
 constexpr int ClientCount = 6;
-constexpr std::chrono::seconds PlayTime{20};
+constexpr std::chrono::seconds PlayTime{9};
+/// Length of the disruption.
+constexpr milliseconds DisruptionTime{6500};
 constexpr milliseconds WorkTime{4};
 constexpr milliseconds ClientPause{20};
 /// Share of the requests that the grey server fails.
@@ -37,13 +39,14 @@
 }
 
 /// Makes a server fail part of its requests. It stays registered as ready.
-void failPart(ServerOptions &options)
+void failPart(ServerOptions &options, const Recurrence &recurrence)
 {
     const auto random = std::make_shared<std::mt19937>(Seed);
     const auto mutex = std::make_shared<std::mutex>();
-    options.chooseStatus = [random, mutex](const std::string & /*request*/) {
+    options.chooseStatus = [random, mutex, &recurrence](const std::string & /*request*/) {
         const std::lock_guard lock(*mutex);
-        return std::uniform_real_distribution<double>(0, 1)(*random) < FailureShare ? 404 : 200;
+        const bool fails = std::uniform_real_distribution<double>(0, 1)(*random) < FailureShare;
+        return fails && recurrence.isActive() ? 404 : 200;
     };
 }
 
@@ -100,6 +103,7 @@
 
 CaseResult play(Record &record, bool trouble)
 {
+    Recurrence recurrence(DisruptionTime, milliseconds(0), 1);
     Deployment deployment(HostCount, record);
     std::vector<std::string> services;
     std::string shards;
@@ -116,7 +120,7 @@
                 return makeRecords(id, request);
             };
             if (trouble && shard == 1 && number == 1)
-                failPart(options);
+                failPart(options, recurrence);
             deployment.addServer(options);
         }
     }
@@ -128,6 +132,7 @@
             services));
     if (!deployment.start())
         return CaseResult::NotRun;
+    recurrence.begin();
     const auto end = std::chrono::steady_clock::now() + PlayTime;
     std::vector<std::thread> clients;
     for (int client = 0; client < ClientCount; ++client)
--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -1,6 +1,6 @@
 // A server that has run a request that is not idempotent fails it with 503 and does not state that
 // it has not run.
-#include "review/support/case.h"
+#include "review/case_result.h"
 
 using namespace persimmon::review;
 using std::chrono::milliseconds;
@@ -8,22 +8,25 @@
 namespace {
 
 constexpr int HostCount = 3;
-constexpr int ServerCount = 2;
-constexpr int ClientCount = 6;
-constexpr std::chrono::seconds PlayTime{15};
-constexpr milliseconds ClientPause{50};
+constexpr int ServerCount = 8;
+constexpr int ClientCount = 18;
+constexpr std::chrono::seconds PlayTime{9};
+/// Length of the disruption.
+constexpr milliseconds DisruptionTime{6500};
+constexpr milliseconds ClientPause{20};
 /// Share of the requests that the grey server fails.
 constexpr double FailureShare = 0.4;
 constexpr unsigned Seed = 5;
 
 /// Makes a server fail part of its requests after it has run them. It stays registered as ready.
-void failPart(ServerOptions &options)
+void failPart(ServerOptions &options, const Recurrence &recurrence)
 {
     const auto random = std::make_shared<std::mt19937>(Seed);
     const auto mutex = std::make_shared<std::mutex>();
-    options.chooseStatus = [random, mutex](const std::string & /*request*/) {
+    options.chooseStatus = [random, mutex, &recurrence](const std::string & /*request*/) {
         const std::lock_guard lock(*mutex);
-        return std::uniform_real_distribution<double>(0, 1)(*random) < FailureShare ? 503 : 200;
+        const bool fails = std::uniform_real_distribution<double>(0, 1)(*random) < FailureShare;
+        return fails && recurrence.isActive() ? 503 : 200;
     };
 }
 
@@ -39,24 +42,26 @@
 
 CaseResult play(Record &record, bool trouble)
 {
+    Recurrence recurrence(DisruptionTime, milliseconds(0), 1);
     Deployment deployment(HostCount, record);
     for (int number = 1; number <= ServerCount; ++number) {
         ServerOptions options;
-        options.service = "entry-desk";
-        options.id = "desk-" + std::to_string(number);
-        options.failureDomain = Deployment::domainOf(number);
+        options.service = "secretary";
+        options.id = "office-" + std::to_string(number);
+        options.failureDomain = Deployment::domainOf(1 + number % HostCount);
         if (trouble && number == 1)
-            failPart(options);
+            failPart(options, recurrence);
         deployment.addServer(options);
     }
     deployment.publish(makeConfig(
             1,
             {R"({"name":"pay","host":"h.example","prefix":"/pay/","kind":"non_idempotent",)"
-             R"("deadline_ms":2500,"goal_ms":400,"priority":1,"service":"entry-desk",)"
+             R"("deadline_ms":2500,"goal_ms":400,"priority":1,"service":"secretary",)"
              R"("max_attempts":2,"home_regions":[]})"},
-            {"entry-desk"}));
+            {"secretary"}));
     if (!deployment.start())
         return CaseResult::NotRun;
+    recurrence.begin();
     const auto end = std::chrono::steady_clock::now() + PlayTime;
     std::vector<std::thread> clients;
     for (int client = 0; client < ClientCount; ++client)
--- a/review/support/case.cpp
+++ b/review/case_result.cpp
@@ -1,4 +1,4 @@
-#include "review/support/case.h"
+#include "review/case_result.h"
 
 #include <cstdlib>
 #include <iostream>
@@ -9,13 +9,12 @@
 int runCase(int argc, char **argv,
             const std::function<CaseResult(Record &record, bool trouble)> &play)
 {
-    if (argc != 2) {
-        std::cerr << "usage: " << argv[0] << " RECORD\n";
+    if (argc != 3) {
+        std::cerr << "usage: " << argv[0] << " RECORD TROUBLE\n";
         return static_cast<int>(CaseResult::NotRun);
     }
     Record record(argv[1]);
-    const char *setting = std::getenv("TROUBLE");
-    const bool trouble = setting == nullptr || std::string(setting) != "0";
+    const bool trouble = std::string(argv[2]) != "0";
     record.note(trouble ? "with the disruption" : "without the disruption");
     const auto result = play(record, trouble);
     const std::map<CaseResult, std::string> texts{{CaseResult::Held, "the rule held"},
@@ -26,6 +25,23 @@
     return static_cast<int>(result);
 }
 
+void Recurrence::begin()
+{
+    startedAt_ = std::chrono::steady_clock::now().time_since_epoch().count();
+}
+
+bool Recurrence::isActive() const
+{
+    const auto start = startedAt_.load();
+    if (start == 0)
+        return false;
+    const auto time = std::chrono::steady_clock::now().time_since_epoch()
+                      - std::chrono::steady_clock::duration(start) - FirstDelay;
+    const auto period =
+            std::chrono::duration_cast<std::chrono::steady_clock::duration>(length_ + pause_);
+    return time.count() >= 0 && time / period < count_ && time % period < length_;
+}
+
 OnceReport checkOnce(Record &record)
 {
     static const std::set<int> promises{408, 421, 429, 503};
--- a/review/support/deployment.cpp
+++ b/review/deployment.cpp
@@ -1,4 +1,4 @@
-#include "review/support/deployment.h"
+#include "review/deployment.h"
 
 #include "tests/support/raw_http.h"
 
--- a/review/support/deployment.h
+++ b/review/deployment.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "review/support/server.h"
+#include "review/server.h"
 #include "standin/standin.h"
 #include "tests/system/process.h"
 
--- a/review/support/record.cpp
+++ b/review/record.cpp
@@ -1,4 +1,4 @@
-#include "review/support/record.h"
+#include "review/record.h"
 
 #include <algorithm>
 
--- a/review/support/server.cpp
+++ b/review/server.cpp
@@ -1,4 +1,4 @@
-#include "review/support/server.h"
+#include "review/server.h"
 
 #include "tests/support/raw_http.h"
 
--- a/review/support/server.h
+++ b/review/server.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "review/support/record.h"
-#include "review/support/sockets.h"
+#include "review/record.h"
+#include "review/sockets.h"
 
 #include <atomic>
 #include <functional>
--- a/review/support/sockets.cpp
+++ b/review/sockets.cpp
@@ -1,4 +1,4 @@
-#include "review/support/sockets.h"
+#include "review/sockets.h"
 
 #include "tests/support/raw_http.h"
 
--- a/review/targets.cmake
+++ b/review/targets.cmake
@@ -1,5 +1,5 @@
 # One program for each case: review/N/case.cpp is review_case_N.
-file(GLOB review_support CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/review/support/*.cpp)
+file(GLOB review_support CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/review/*.cpp)
 add_library(persimmon_review STATIC ${review_support} tests/support/raw_http.cpp tests/system/process.cpp)
 target_link_libraries(persimmon_review PUBLIC persimmon_standin)
 file(GLOB review_cases CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/review/[0-9]/case.cpp)
