Let the failing server of case 4 fail several times

Cause: with one failure period of 6.5 s and one grey server of eight, the rule was broken in 3 of 5 plays only, since hosts pass over a server that fails.

--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -10,9 +10,11 @@
 constexpr int HostCount = 3;
 constexpr int ServerCount = 8;
 constexpr int ClientCount = 18;
-constexpr std::chrono::seconds PlayTime{9};
-/// Length of the disruption.
+constexpr std::chrono::seconds PlayTime{49};
+/// Length of a disruption, the time until the next one, and their number.
 constexpr milliseconds DisruptionTime{6500};
+constexpr milliseconds DisruptionPause{3000};
+constexpr int DisruptionCount = 5;
 constexpr milliseconds ClientPause{20};
 /// Share of the requests that the grey server fails.
 constexpr double FailureShare = 0.4;
@@ -42,7 +44,7 @@
 
 CaseResult play(Record &record, bool trouble)
 {
-    Recurrence recurrence(DisruptionTime, milliseconds(0), 1);
+    Recurrence recurrence(DisruptionTime, DisruptionPause, DisruptionCount);
     Deployment deployment(HostCount, record);
     for (int number = 1; number <= ServerCount; ++number) {
         ServerOptions options;
