--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -9,13 +9,13 @@
 
 constexpr int HostCount = 3;
 constexpr int ServerCount = 8;
-constexpr int ClientCount = 18;
-constexpr std::chrono::seconds PlayTime{49};
+constexpr int ClientCount = 40;
+constexpr std::chrono::seconds PlayTime{9};
 /// Length of a disruption, the time until the next one, and their number.
 constexpr milliseconds DisruptionTime{6500};
 constexpr milliseconds DisruptionPause{3000};
-constexpr int DisruptionCount = 5;
-constexpr milliseconds ClientPause{20};
+constexpr int DisruptionCount = 1;
+constexpr milliseconds ClientPause{5};
 /// Share of the requests that the grey server fails.
 constexpr double FailureShare = 0.4;
 constexpr unsigned Seed = 5;
