Count and log the faults of responses by kind

Today's logs could not tell its possible causes apart: a whole response to another request and a head with another one in it had a line each, but a response that is completed by the bytes of the next one left no trace at all, neither of the bytes that remain behind it.

Change: one line, 'faulty response of an upstream', with the kind of fault and the number of the connection, which the line of the failed attempt names too; a counter for each kind. New kinds: a response, or other bytes, behind a complete response.

Before: bytes behind a response closed the connection without a line.

--- a/forward/forwarding_client.cpp
+++ b/forward/forwarding_client.cpp
@@ -2,6 +2,7 @@
 
 #include "forward/parse_error.h"
 #include "forward/response_head.h"
+#include "forward/status_line.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -23,7 +24,6 @@
 
 namespace {
 
-constexpr const char *Part = "forward";
 constexpr auto AwaitTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::chrono::milliseconds TimeoutCheckInterval{40};
 /// Time after the deadline in which an upstream can still report that the deadline has passed.
@@ -86,6 +86,7 @@
     : runtime_(runtime),
       names_(std::move(names)),
       noticeParser_(metrics, names_),
+      faults_(metrics),
       openedConnections_(metrics.counter("persimmon_upstream_connections_total",
                                          "Connections opened to upstreams.")),
       reusedConnections_(metrics.counter("persimmon_upstream_reuses_total",
@@ -223,6 +224,8 @@
         co_return result;
     }
     auto &response = std::get<UpstreamResponse>(received);
+    if (connection->buffer.size() > 0)
+        reportBytesBehind(*connection, request->id);
     // Bytes after a complete response belong to no request. An upstream that does not echo the id
     // may send a late response that cannot be told from the next one.
     const bool keepOpen = response.keep_alive() && connection->buffer.size() == 0
@@ -261,10 +264,10 @@
             co_return message;
         }
         skipped = true;
-        transport::logWarning(Part, "skipped a response to another request",
-                              {{"request", request->id},
-                               {"received", std::string(response[names_.requestId])},
-                               {"status", std::to_string(response.result_int())}});
+        faults_.report(ResponseFault::OtherRequest, connection->number,
+                       {{"request", request->id},
+                        {"received", std::string(response[names_.requestId])},
+                        {"status", std::to_string(response.result_int())}});
     }
     co_return state::AttemptEnd::Oversized;
 }
@@ -295,9 +298,8 @@
         const bool hasNewHead = parser.is_header_done() && !headChecked;
         headChecked = parser.is_header_done();
         if (hasNewHead && containsSecondHead(parser.get(), names_)) {
-            transport::logWarning(Part, "rejected a response head that contains another one",
-                                  {{"connection", std::to_string(connection->number)},
-                                   {"status", std::to_string(parser.get().result_int())}});
+            faults_.report(ResponseFault::SecondHead, connection->number,
+                           {{"status", std::to_string(parser.get().result_int())}});
             co_return state::AttemptEnd::Dropped;
         }
         if (!share.growTo(parser.get().body().size()))
@@ -306,6 +308,16 @@
     co_return parser.release();
 }
 
+void ForwardingClient::reportBytesBehind(const Connection &connection, const std::string &requestId)
+{
+    const auto bytes = connection.buffer.cdata();
+    const std::string_view text(static_cast<const char *>(bytes.data()), bytes.size());
+    const auto fault =
+            mayBeginStatusLine(text) ? ResponseFault::ResponseBehind : ResponseFault::BytesBehind;
+    faults_.report(fault, connection.number,
+                   {{"request", requestId}, {"bytes", std::to_string(text.size())}});
+}
+
 state::AttemptEnd ForwardingClient::resolveEnd(const ActiveAttempt &attempt,
                                                state::AttemptEnd fallback)
 {
--- a/forward/forwarding_client.h
+++ b/forward/forwarding_client.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "forward/receive_budget.h"
+#include "forward/response_faults.h"
 #include "forward/upstream_notice_parser.h"
 #include "forward/upstream_response.h"
 #include "forward/used_connections.h"
@@ -112,6 +113,8 @@
     /// Reads one message, which may be an interim response.
     boost::asio::awaitable<std::variant<UpstreamResponse, state::AttemptEnd>>
     readMessage(ConnectionPtr connection, bool withBody);
+    /// Reports bytes that were received after a complete response.
+    void reportBytesBehind(const Connection &connection, const std::string &requestId);
     bool isResponseTo(const UpstreamResponse &response, const Connection &connection,
                       const std::string &requestId) const;
     static state::AttemptEnd resolveEnd(const ActiveAttempt &attempt, state::AttemptEnd fallback);
@@ -121,6 +124,7 @@
     transport::Runtime &runtime_;
     const HeaderNames names_;
     UpstreamNoticeParser noticeParser_;
+    ResponseFaultReporter faults_;
     transport::Counter &openedConnections_;
     transport::Counter &reusedConnections_;
     std::map<std::string, std::vector<ConnectionPtr>> idle_;
--- /dev/null
+++ b/forward/response_faults.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "core/enum_names.h"
+#include "transport/transport.h"
+
+#include <array>
+#include <cstdint>
+#include <vector>
+
+namespace persimmon::forward {
+
+/// What is wrong with the bytes that an upstream sent in place of, or beside, one response.
+enum class ResponseFault : std::uint8_t {
+    /// A whole response to another request.
+    OtherRequest,
+    /// A head that contains another one.
+    SecondHead,
+    /// Bytes after a complete response that begin another one.
+    ResponseBehind,
+    /// Other bytes after a complete response.
+    BytesBehind,
+};
+
+inline constexpr std::array<EnumName<ResponseFault>, 4> ResponseFaultNames{{
+        {ResponseFault::OtherRequest, "other_request"},
+        {ResponseFault::SecondHead, "second_head"},
+        {ResponseFault::ResponseBehind, "response_behind"},
+        {ResponseFault::BytesBehind, "bytes_behind"},
+}};
+
+/// Logs and counts the faults of responses, by kind.
+class ResponseFaultReporter
+{
+public:
+    explicit ResponseFaultReporter(transport::Metrics &metrics);
+
+    /// @param connection number of the connection, which the line of the failed attempt names too.
+    /// @param fields what else describes the fault.
+    void report(ResponseFault fault, std::uint64_t connection,
+                std::vector<transport::LogField> fields);
+
+private:
+    std::array<transport::Counter *, ResponseFaultNames.size()> counters_{};
+};
+
+} // namespace persimmon::forward
