--- a/tests/forward/test_misbehaving_upstreams.cpp
+++ b/tests/forward/test_misbehaving_upstreams.cpp
@@ -1,4 +1,5 @@
 #include "tests/forward/forwarder_fixture.h"
+#include "tests/support/endless_response.h"
 
 #include <doctest/doctest.h>
 
@@ -43,30 +44,6 @@
             {"wrong instance without an id", makeResponse("", "", notRun, 421)}};
 }
 
-/// Bytes that are sent again and again, after a start that makes them part of a message.
-struct EndlessResponse
-{
-    std::string description;
-    std::string start;
-    std::string repeated;
-};
-
-std::vector<EndlessResponse> endlessResponses()
-{
-    const std::string ok = "HTTP/1.1 200 OK\r\nX-Sign: sig\r\n";
-    const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
-    const std::string filler(16U * 1024U, 'x');
-    return {{"header fields", ok, "X-Filler: " + std::string(1000, 'x') + "\r\n"},
-            {"one header line", ok + "X-Filler: ", filler},
-            {"status line", "", filler},
-            {"interim responses", "", "HTTP/1.1 102 Processing\r\n\r\n"},
-            {"body without a length", ok + "Connection: close\r\n\r\n", filler},
-            {"chunks", chunked, "4000\r\n" + filler + "\r\n"},
-            {"chunk extension", chunked + "4;", filler},
-            {"chunk size", chunked, std::string(1024, '0')},
-            {"trailer fields", chunked + "0\r\n", "X-Filler: " + std::string(1000, 'x') + "\r\n"}};
-}
-
 /// Waits until an upstream has seen that the connection of each of its requests was closed, which
 /// its next attempt to send shows.
 bool waitUntilAllAbandoned(const RawUpstream &upstream)
@@ -344,12 +321,10 @@
 // end.
 TEST_CASE_FIXTURE(Fixture, "bytes without end are cut off and the request is served elsewhere")
 {
-    for (const auto &response : endlessResponses()) {
+    for (const auto &response : endlessResponses("X-Sign: sig\r\n")) {
         CAPTURE(response.description);
         Fixture host;
-        const RawUpstream endless([&](const std::string &) {
-            return RawResponse{response.start, false, milliseconds(0), response.repeated};
-        });
+        const RawUpstream endless([&](const std::string &) { return response.toRawResponse(); });
         const RawUpstream good(respondWith(makeResponse("body", "sig")));
         host.addUpstream("s", "u1", endless);
         host.addUpstream("s", "u2", good);
@@ -367,12 +342,10 @@
 TEST_CASE_FIXTURE(Fixture, "a non-idempotent request that is answered without end has no known "
                            "result")
 {
-    for (const auto &response : endlessResponses()) {
+    for (const auto &response : endlessResponses("X-Sign: sig\r\n")) {
         CAPTURE(response.description);
         Fixture host;
-        const RawUpstream endless([&](const std::string &) {
-            return RawResponse{response.start, false, milliseconds(0), response.repeated};
-        });
+        const RawUpstream endless([&](const std::string &) { return response.toRawResponse(); });
         host.addUpstream("s", "u1", endless);
         host.start();
         CHECK(statusOf(host.call("/once/")) == 502);
--- a/tests/support/raw_http.cpp
+++ b/tests/support/raw_http.cpp
@@ -7,6 +7,7 @@
 
 #include <array>
 #include <cstdlib>
+#include <utility>
 
 namespace persimmon::tests {
 
@@ -91,10 +92,8 @@
         for (const auto socket : sockets_)
             ::shutdown(socket, SHUT_RDWR);
     }
-    for (auto &thread : threads_)
+    for (auto &[id, thread] : threads_)
         thread.join();
-    for (const auto socket : sockets_)
-        ::close(socket);
 }
 
 std::string RawUpstream::address() const
@@ -108,12 +107,6 @@
     return requests_;
 }
 
-std::size_t RawUpstream::connectionCount() const
-{
-    const std::lock_guard lock(mutex_);
-    return sockets_.size();
-}
-
 void RawUpstream::accept()
 {
     while (!stopping_) {
@@ -124,12 +117,28 @@
         const int socket = ::accept(listener_, nullptr, nullptr);
         if (socket < 0)
             continue;
+        joinFinished();
         const std::lock_guard lock(mutex_);
         sockets_.push_back(socket);
-        threads_.emplace_back([this, socket] { serve(socket); });
+        ++connectionCount_;
+        std::thread thread([this, socket] { serve(socket); });
+        const auto id = thread.get_id();
+        threads_.emplace(id, std::move(thread));
     }
 }
 
+void RawUpstream::joinFinished()
+{
+    std::vector<std::thread> ended;
+    {
+        const std::lock_guard lock(mutex_);
+        for (const auto id : std::exchange(finished_, {}))
+            ended.push_back(std::move(threads_.extract(id).mapped()));
+    }
+    for (auto &thread : ended)
+        thread.join();
+}
+
 void RawUpstream::crash(std::chrono::milliseconds downtime)
 {
     const std::lock_guard lock(mutex_);
@@ -159,6 +168,21 @@
 }
 
 void RawUpstream::serve(int socket)
+{
+    const bool reset = exchange(socket);
+    const std::lock_guard lock(mutex_);
+    std::erase(sockets_, socket);
+    finished_.push_back(std::this_thread::get_id());
+    if (reset) {
+        const linger none{1, 0};
+        ::setsockopt(socket, SOL_SOCKET, SO_LINGER, &none, sizeof none);
+    } else {
+        ::shutdown(socket, SHUT_RDWR);
+    }
+    ::close(socket);
+}
+
+bool RawUpstream::exchange(int socket)
 {
     while (!stopping_) {
         const auto request = readMessage(socket, std::chrono::seconds(20));
@@ -178,30 +202,22 @@
             pollfd event{socket, POLLRDHUP, 0};
             if (::poll(&event, 1, 5) > 0) {
                 ++abandonedCount_;
-                ::shutdown(socket, SHUT_RDWR);
-                return;
+                return false;
             }
         }
         ::send(socket, response.bytes.data(), response.bytes.size(), MSG_NOSIGNAL);
+        if (!response.later.empty()) {
+            std::this_thread::sleep_for(response.laterBy);
+            ::send(socket, response.later.data(), response.later.size(), MSG_NOSIGNAL);
+        }
         if (!response.endless.empty())
             sendEndlessly(socket, response.endless);
-        if (response.reset) {
-            resetConnection(socket);
-            return;
-        }
+        if (response.reset)
+            return true;
         if (response.close || !response.endless.empty())
             break;
     }
-    ::shutdown(socket, SHUT_RDWR);
-}
-
-void RawUpstream::resetConnection(int socket)
-{
-    const std::lock_guard lock(mutex_);
-    std::erase(sockets_, socket);
-    const linger none{1, 0};
-    ::setsockopt(socket, SOL_SOCKET, SO_LINGER, &none, sizeof none);
-    ::close(socket);
+    return false;
 }
 
 void RawUpstream::sendEndlessly(int socket, const std::string &bytes)
--- a/tests/support/raw_http.h
+++ b/tests/support/raw_http.h
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <chrono>
 #include <functional>
+#include <map>
 #include <mutex>
 #include <string>
 #include <thread>
@@ -24,6 +25,9 @@
     bool reset = false;
     /// If positive, the upstream ends in place of sending, and starts again after this time.
     std::chrono::milliseconds downtime{0};
+    /// Sent after the bytes and a pause of laterBy.
+    std::string later = {};
+    std::chrono::milliseconds laterBy{0};
 };
 
 /// Upstream that sends arbitrary bytes as responses. Uses one thread per connection.
@@ -43,7 +47,8 @@
     /// @return the received requests.
     std::vector<std::string> requests() const;
 
-    std::size_t connectionCount() const;
+    /// @return number of connections that were accepted so far.
+    std::size_t connectionCount() const { return connectionCount_; }
 
     /// @return the number of connections that the client closed while a request was handled.
     int abandonedCount() const { return abandonedCount_; }
@@ -57,8 +62,11 @@
     void crash(std::chrono::milliseconds downtime);
     void restart();
     void serve(int socket);
-    /// Closes a socket such that the peer receives a reset.
-    void resetConnection(int socket);
+    /// Exchanges messages until the connection ends.
+    /// @return whether to reset the connection.
+    bool exchange(int socket);
+    /// Joins the threads of connections that have ended, which frees their stacks.
+    void joinFinished();
     void sendEndlessly(int socket, const std::string &bytes);
 
     Handler handler_;
@@ -70,9 +78,11 @@
     mutable std::mutex mutex_;
     std::vector<std::string> requests_;
     std::vector<int> sockets_;
+    std::atomic<std::size_t> connectionCount_ = 0;
     /// When it starts again after a crash.
     std::chrono::steady_clock::time_point restartAt_{};
-    std::vector<std::thread> threads_;
+    std::map<std::thread::id, std::thread> threads_;
+    std::vector<std::thread::id> finished_;
     std::thread acceptor_;
 };
 
--- a/tests/system/cluster.cpp
+++ b/tests/system/cluster.cpp
@@ -132,7 +132,7 @@
     add("host", "h" + std::to_string(host));
     add("address", ip(host));
     add("failure-domain", failureDomain(host));
-    add("service", network_ + ".0.1:7000");
+    add("service", options_.serviceAddressFor(network_ + ".0.1:7000"));
     return arguments;
 }
 
@@ -145,6 +145,8 @@
         if (peer != host)
             peers += (peers.empty() ? "" : ",") + ip(peer) + ":7300";
     }
+    for (const auto &peer : options_.extraPeers)
+        peers += "," + peer;
     arguments.push_back(peers);
     agents_.erase(host);
     agents_.emplace(host, Process(arguments, logPath("agent-" + std::to_string(host))));
--- a/tests/system/cluster.h
+++ b/tests/system/cluster.h
@@ -19,6 +19,11 @@
     std::vector<std::string> simulatorFlags = {};
     std::vector<std::string> dispatchFlags = {};
     std::vector<std::string> entryFlags = {};
+    /// Returns the address of the configuration service to configure in the daemons.
+    std::function<std::string(const std::string &address)> serviceAddressFor =
+            [](const std::string &address) { return address; };
+    /// Addresses that all agents take for those of further agents.
+    std::vector<std::string> extraPeers = {};
 };
 
 /// Simulator of one deployment and the daemons of six entry hosts, run as processes on separate
--- a/tests/system/platform_cluster.cpp
+++ b/tests/system/platform_cluster.cpp
@@ -111,6 +111,9 @@
 void PlatformCluster::writeSettings(int host, int ttlSeconds) const
 {
     const auto &ports = ports_.at(host);
+    std::string extraSeeds;
+    for (const auto &address : options_.extraSeeds)
+        extraSeeds += ", \"" + address + "\"";
     std::ofstream file(settingsPath(host));
     file << "node_name: host" << host << "\nzone: z" << 1 + (host - 1) % ZoneCount
          << "\nregion: r\n"
@@ -120,7 +123,7 @@
          << "\n  ready_addr: " << loopbackAddress(ports.ready)
          << "\n  control: " << loopbackAddress(ports.control) << "\nseed_nodes: [\""
          << loopbackAddress(ports_.at(1).control) << "\", \""
-         << loopbackAddress(ports_.at(2).control) << "\"]\n"
+         << loopbackAddress(ports_.at(2).control) << "\"" << extraSeeds << "]\n"
          << "bounds: {retry_ratio: 0.2, retry_burst: 52, grace_s: 3, ttl_max_s: " << ttlSeconds
          << "}\n"
          << "platform:\n  address: " << options_.storeAddressFor(host, storeAddress_) << "\n";
--- a/tests/system/platform_cluster.h
+++ b/tests/system/platform_cluster.h
@@ -9,6 +9,7 @@
 #include <mutex>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace persimmon::tests {
 
@@ -41,6 +42,8 @@
     /// Returns the address of the store to configure in a host.
     std::function<std::string(int host, const std::string &address)> storeAddressFor =
             [](int /*host*/, const std::string &address) { return address; };
+    /// Addresses that all hosts take for the control addresses of further hosts.
+    std::vector<std::string> extraSeeds = {};
 };
 
 /// Entry hosts of the platform as child processes, with the store and the upstreams in this
@@ -62,6 +65,7 @@
     void startHost(int host);
     int hostCount() const { return options_.hostCount; }
     Process &process(int host) { return *processes_.at(host); }
+    const Process &process(int host) const { return *processes_.at(host); }
     standin::SimulatedKeyValueStore &store() { return store_; }
 
     /// Writes a configuration whose scatter-gather route has @p prefix.
--- a/tests/system/process.cpp
+++ b/tests/system/process.cpp
@@ -6,7 +6,9 @@
 #include <unistd.h>
 
 #include <csignal>
+#include <fstream>
 #include <stdexcept>
+#include <string_view>
 #include <thread>
 #include <utility>
 
@@ -86,4 +88,16 @@
     return false;
 }
 
+std::size_t Process::peakMemoryBytes() const
+{
+    constexpr std::string_view Name = "VmHWM:";
+    constexpr std::size_t BytesPerUnit = 1024;
+    std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
+    for (std::string line; std::getline(status, line);) {
+        if (line.starts_with(Name))
+            return std::stoul(line.substr(Name.size())) * BytesPerUnit;
+    }
+    return 0;
+}
+
 } // namespace persimmon::tests
--- a/tests/system/process.h
+++ b/tests/system/process.h
@@ -3,6 +3,7 @@
 #include <sys/types.h>
 
 #include <chrono>
+#include <cstddef>
 #include <string>
 #include <vector>
 
@@ -34,6 +35,10 @@
 
     bool isRunning();
 
+    /// @return the largest resident memory that the running process has had, in bytes; 0 if it has
+    ///         ended.
+    std::size_t peakMemoryBytes() const;
+
 private:
     pid_t pid_ = -1;
     int status_ = -1;
