Drop a response whose body holds the beginning of another one

Cause: the length of a message was trusted whatever the bytes were. A response that breaks off on an open connection leaves its length open, and the first bytes of the next response, the own one sent again or a late copy, are read as the rest of its body. Class of fault: the framing of one message is applied to the bytes of another.

Change: a complete body is searched for the head of another response that begins within it, and the bytes received behind it are part of the search. It is one if a field names a request, a signature or 'not executed', or if it reaches beyond the body. Such a message belongs to no request: the attempt ends as Dropped (it may have run), its connection is closed, the log names the fault.

Why it works: all bytes between the break and the end of the body, and those behind it, are the next response from its first byte on, so its status line begins in the body, and its head is in the body or goes on behind it. What cannot be told from the bytes: a break of which less than 5 bytes are missing where the network separates the segments just there; a next response whose head lies whole in the body and names no request, no signature and no 'not executed'.

Sound bodies that contain or end with a status line pass before and after.

--- a/forward/forward.h
+++ b/forward/forward.h
@@ -2,6 +2,7 @@
 
 #include "forward/attempt_trace.h"
 #include "forward/crash_gate.h"
+#include "forward/embedded_head.h"
 #include "forward/forward_request.h"
 #include "forward/forwarding_client.h"
 #include "forward/frontend_server.h"
--- a/forward/forwarding_client.cpp
+++ b/forward/forwarding_client.cpp
@@ -1,5 +1,6 @@
 #include "forward/forwarding_client.h"
 
+#include "forward/embedded_head.h"
 #include "forward/parse_error.h"
 #include "forward/response_head.h"
 #include "forward/status_line.h"
@@ -41,6 +42,13 @@
 /// Interim responses, and late responses to other requests, that one attempt skips.
 constexpr int MaxSkippedMessages = 8;
 constexpr unsigned FirstFinalStatus = 200;
+/// Time that the rest of a status line may take that begins in the last bytes of a body. Both are
+/// sent together, and only segments separate them.
+constexpr std::chrono::milliseconds SegmentDelay{10};
+constexpr std::chrono::milliseconds SegmentPollInterval{2};
+/// With fewer of its letters at the end of a body, the rest of a status line is not awaited: many
+/// bodies end with such bytes.
+constexpr std::size_t MinAwaitedBytes = std::string_view("HTTP/").size();
 
 void setSocketOptions(asio::ip::tcp::socket &socket)
 {
@@ -57,6 +65,27 @@
     return count >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
+/// Appends what the socket has received, without waiting.
+/// @return whether there was anything.
+bool receiveAvailable(asio::ip::tcp::socket &socket, beast::flat_buffer &buffer)
+{
+    constexpr std::size_t ChunkBytes = 4096;
+    if (buffer.size() + ChunkBytes > buffer.max_size())
+        return false;
+    const auto space = buffer.prepare(ChunkBytes);
+    const auto count = ::recv(socket.native_handle(), space.data(), space.size(), MSG_DONTWAIT);
+    if (count <= 0)
+        return false;
+    buffer.commit(static_cast<std::size_t>(count));
+    return true;
+}
+
+std::string_view textOf(const beast::flat_buffer &buffer)
+{
+    const auto bytes = buffer.cdata();
+    return {static_cast<const char *>(bytes.data()), bytes.size()};
+}
+
 state::AttemptEnd endForReadError(const beast::error_code &error)
 {
     if (error == http::error::header_limit || error == http::error::body_limit
@@ -305,13 +334,36 @@
         if (!share.growTo(parser.get().body().size()))
             co_return state::AttemptEnd::Oversized;
     }
-    co_return parser.release();
+    auto response = parser.release();
+    if (co_await containsSecondResponse(connection, response)) {
+        faults_.report(ResponseFault::FilledBody, connection->number,
+                       {{"status", std::to_string(response.result_int())},
+                        {"body_bytes", std::to_string(response.body().size())}});
+        co_return state::AttemptEnd::Dropped;
+    }
+    co_return response;
+}
+
+asio::awaitable<bool> ForwardingClient::containsSecondResponse(ConnectionPtr connection,
+                                                               const UpstreamResponse &response)
+{
+    const auto waitUntil = runtime_.clock().now() + SegmentDelay;
+    while (true) {
+        const auto head = findEmbeddedHead(response.body(), textOf(connection->buffer), names_);
+        if (head.found || head.unfinishedBytes == 0)
+            co_return head.found;
+        if (receiveAvailable(connection->socket, connection->buffer))
+            continue;
+        if (head.unfinishedBytes < MinAwaitedBytes || response.need_eof()
+            || runtime_.clock().now() >= waitUntil)
+            co_return false;
+        co_await runtime_.clock().sleep(SegmentPollInterval);
+    }
 }
 
 void ForwardingClient::reportBytesBehind(const Connection &connection, const std::string &requestId)
 {
-    const auto bytes = connection.buffer.cdata();
-    const std::string_view text(static_cast<const char *>(bytes.data()), bytes.size());
+    const auto text = textOf(connection.buffer);
     const auto fault =
             mayBeginStatusLine(text) ? ResponseFault::ResponseBehind : ResponseFault::BytesBehind;
     faults_.report(fault, connection.number,
--- a/forward/forwarding_client.h
+++ b/forward/forwarding_client.h
@@ -113,6 +113,10 @@
     /// Reads one message, which may be an interim response.
     boost::asio::awaitable<std::variant<UpstreamResponse, state::AttemptEnd>>
     readMessage(ConnectionPtr connection, bool withBody);
+    /// Looks for the beginning of another response in the body of a complete one, and briefly waits
+    /// for more bytes where those received so far cannot tell.
+    boost::asio::awaitable<bool> containsSecondResponse(ConnectionPtr connection,
+                                                        const UpstreamResponse &response);
     /// Reports bytes that were received after a complete response.
     void reportBytesBehind(const Connection &connection, const std::string &requestId);
     bool isResponseTo(const UpstreamResponse &response, const Connection &connection,
--- a/forward/response_faults.h
+++ b/forward/response_faults.h
@@ -15,15 +15,18 @@
     OtherRequest,
     /// A head that contains another one.
     SecondHead,
+    /// A body that holds the beginning of another response.
+    FilledBody,
     /// Bytes after a complete response that begin another one.
     ResponseBehind,
     /// Other bytes after a complete response.
     BytesBehind,
 };
 
-inline constexpr std::array<EnumName<ResponseFault>, 4> ResponseFaultNames{{
+inline constexpr std::array<EnumName<ResponseFault>, 5> ResponseFaultNames{{
         {ResponseFault::OtherRequest, "other_request"},
         {ResponseFault::SecondHead, "second_head"},
+        {ResponseFault::FilledBody, "filled_body"},
         {ResponseFault::ResponseBehind, "response_behind"},
         {ResponseFault::BytesBehind, "bytes_behind"},
 }};
