End an attempt at once on bytes that begin no response

What callers saw: a request whose upstream had sent bytes that are no response waited for its deadline (504), or for a hedge, although its connection could not answer any more.

Cause: the parser looks at a head only when its end, an empty line, has arrived. Bytes without one look like a head that is still under way.

Change: before the parser reads a message, its first 12 bytes are compared with a version and a status; the first that differs ends the attempt as Dropped, with a line of the log.

Why it works: each response of HTTP/1 starts with these 12 bytes, so that no sound response is rejected, and one wrong byte is enough. Ruled out: a limit of time for heads; slow upstreams would be cut off.

--- a/forward/forwarding_client.cpp
+++ b/forward/forwarding_client.cpp
@@ -318,6 +318,9 @@
     parser.eager(true);
     parser.body_limit(MaxResponseBytes);
     parser.skip(!withBody);
+    const auto unreadable = co_await readStatusLineStart(connection);
+    if (unreadable)
+        co_return *unreadable;
     bool headChecked = false;
     while (!parser.is_done()) {
         const auto [error, received] = co_await http::async_read_some(
@@ -344,6 +347,26 @@
     co_return response;
 }
 
+asio::awaitable<std::optional<state::AttemptEnd>>
+ForwardingClient::readStatusLineStart(ConnectionPtr connection)
+{
+    constexpr std::size_t MaxReadBytes = 64U * 1024U;
+    auto &buffer = connection->buffer;
+    while (buffer.size() < StatusLineStartBytes && mayBeginStatusLine(textOf(buffer))) {
+        const auto space = buffer.prepare(beast::read_size(buffer, MaxReadBytes));
+        const auto [error, received] =
+                co_await connection->socket.async_read_some(space, AwaitTuple);
+        if (error)
+            co_return endForReadError(error);
+        buffer.commit(received);
+    }
+    if (mayBeginStatusLine(textOf(buffer)))
+        co_return std::nullopt;
+    faults_.report(ResponseFault::NoResponse, connection->number,
+                   {{"bytes", std::to_string(buffer.size())}});
+    co_return state::AttemptEnd::Dropped;
+}
+
 asio::awaitable<bool> ForwardingClient::containsSecondResponse(ConnectionPtr connection,
                                                                const UpstreamResponse &response)
 {
--- a/forward/forwarding_client.h
+++ b/forward/forwarding_client.h
@@ -11,6 +11,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <tuple>
 #include <variant>
 
@@ -113,6 +114,10 @@
     /// Reads one message, which may be an interim response.
     boost::asio::awaitable<std::variant<UpstreamResponse, state::AttemptEnd>>
     readMessage(ConnectionPtr connection, bool withBody);
+    /// Reads the first bytes of a message.
+    /// @return the end of the attempt if they begin no response.
+    boost::asio::awaitable<std::optional<state::AttemptEnd>>
+    readStatusLineStart(ConnectionPtr connection);
     /// Looks for the beginning of another response in the body of a complete one, and briefly waits
     /// for more bytes where those received so far cannot tell.
     boost::asio::awaitable<bool> containsSecondResponse(ConnectionPtr connection,
--- a/forward/response_faults.h
+++ b/forward/response_faults.h
@@ -13,6 +13,8 @@
 enum class ResponseFault : std::uint8_t {
     /// A whole response to another request.
     OtherRequest,
+    /// Bytes that begin no response.
+    NoResponse,
     /// A head that contains another one.
     SecondHead,
     /// A body that holds the beginning of another response.
@@ -23,8 +25,9 @@
     BytesBehind,
 };
 
-inline constexpr std::array<EnumName<ResponseFault>, 5> ResponseFaultNames{{
+inline constexpr std::array<EnumName<ResponseFault>, 6> ResponseFaultNames{{
         {ResponseFault::OtherRequest, "other_request"},
+        {ResponseFault::NoResponse, "no_response"},
         {ResponseFault::SecondHead, "second_head"},
         {ResponseFault::FilledBody, "filled_body"},
         {ResponseFault::ResponseBehind, "response_behind"},
--- a/forward/status_line.cpp
+++ b/forward/status_line.cpp
@@ -9,6 +9,7 @@
 
 /// A zero stands for any digit.
 constexpr std::string_view Pattern = "HTTP/1.0 000";
+static_assert(Pattern.size() == StatusLineStartBytes);
 
 } // namespace
 
--- a/tests/forward/test_repeated_responses.cpp
+++ b/tests/forward/test_repeated_responses.cpp
@@ -3,6 +3,7 @@
 
 #include <doctest/doctest.h>
 
+#include <chrono>
 #include <string>
 #include <vector>
 
@@ -42,6 +43,9 @@
                                       + std::to_string(body.size()) + "\r\n\r\n" + body},
             {"chunked", "HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n50\r\n"
                                 + body + "\r\n0\r\n\r\n"},
+            {"with trailer fields", "HTTP/1.1 200 OK\r\n" + fields
+                                            + "Transfer-Encoding: chunked\r\n\r\n50\r\n" + body
+                                            + "\r\n0\r\nX-Own: some value\r\n\r\n"},
             {"without a length",
              "HTTP/1.1 200 OK\r\n" + fields + "Connection: close\r\n\r\n" + body, true},
             {"HTTP/1.0", "HTTP/1.0 200 OK\r\n" + fields + "\r\n" + body, true}};
@@ -64,7 +68,9 @@
             host.start();
             const auto response = host.callWithId("i1", "/once/", "POST");
             const bool isOwn = statusOf(response) == 200 && bodyOf(response) == body
-                               && fieldOf(response, "X-Sign") == "sig-i1";
+                               && fieldOf(response, "X-Sign") == "sig-i1"
+                               && response.find("HTTP/1.1", 1) == std::string::npos
+                               && response.find("X-Sign") == response.rfind("X-Sign");
             const bool isUnknown = statusOf(response) == 502 || statusOf(response) == 504;
             CHECK((isOwn || isUnknown));
         }
@@ -171,3 +177,19 @@
             CHECK(bodyOf(host.callWithId("i1", "/once/", "POST")) == body);
     }
 }
+
+// Guards against a request that waits for its deadline although its connection is of no use.
+TEST_CASE("bytes that begin no response end an attempt at once")
+{
+    for (const std::string bytes :
+         {"x", "\r\n", "HTTP/2 200 OK\r\n", "GET / HTTP/1.1\r\n", "HTTP/1.1 2x0", "\x15\x03"}) {
+        CAPTURE(bytes);
+        Fixture host;
+        const RawUpstream upstream(respondWith(bytes));
+        host.addUpstream("s", "u1", upstream);
+        host.start();
+        const auto begin = std::chrono::steady_clock::now();
+        CHECK(statusOf(host.callWithId("i1", "/once/", "POST")) == 502);
+        CHECK(std::chrono::steady_clock::now() - begin < milliseconds(500));
+    }
+}
