Share one budget for all responses that a process receives

Cause: each client had a bound of its own. Upstreams shared 32 MiB; each connection to the store, a peer or the configuration service, and on the own interface each one to an upstream, could hold a body of 32 MiB, and a string that grows without a known length takes up to three times that for a moment. The sum had no bound. Class of fault: limits for each part, none for the whole.

Change: one budget of 32 MiB for the bodies of all responses that are being received, of both HTTP clients. If a message does not fit, the largest one that is larger ends in its place, so that a small response of a sound upstream is received although others hold the budget; before, it ended as 'oversized' and its upstream was passed over.

Ruled out: smaller limits for each client (a list of 100,000 servers does not fit; the sum still grows with the connections); a part of the budget for each client (a part that lies idle).

--- a/forward/forward.h
+++ b/forward/forward.h
@@ -8,7 +8,6 @@
 #include "forward/frontend_server.h"
 #include "forward/header_names.h"
 #include "forward/parse_error.h"
-#include "forward/receive_budget.h"
 #include "forward/request_forwarder.h"
 #include "forward/response_faults.h"
 #include "forward/response_head.h"
--- a/forward/forwarding_client.cpp
+++ b/forward/forwarding_client.cpp
@@ -6,6 +6,7 @@
 #include "forward/status_line.h"
 
 #include <boost/asio/as_tuple.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
@@ -313,7 +314,13 @@
 asio::awaitable<std::variant<UpstreamResponse, state::AttemptEnd>>
 ForwardingClient::readMessage(ConnectionPtr connection, bool withBody)
 {
-    ReceiveBudget::Share share(receiveBudget_);
+    const auto evict = [connection] {
+        asio::post(connection->socket.get_executor(), [connection] {
+            boost::system::error_code ignored;
+            connection->socket.close(ignored);
+        });
+    };
+    transport::ReceiveBudget::Share share(transport::processReceiveBudget(), evict);
     http::response_parser<http::string_body> parser;
     parser.eager(true);
     parser.body_limit(MaxResponseBytes);
@@ -326,7 +333,7 @@
         const auto [error, received] = co_await http::async_read_some(
                 connection->socket, connection->buffer, parser, AwaitTuple);
         if (error)
-            co_return endForReadError(error);
+            co_return share.isEvicted() ? state::AttemptEnd::Oversized : endForReadError(error);
         const bool hasNewHead = parser.is_header_done() && !headChecked;
         headChecked = parser.is_header_done();
         if (hasNewHead && containsSecondHead(parser.get(), names_)) {
--- a/forward/forwarding_client.h
+++ b/forward/forwarding_client.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "forward/receive_budget.h"
 #include "forward/response_faults.h"
 #include "forward/upstream_notice_parser.h"
 #include "forward/upstream_response.h"
@@ -36,8 +35,6 @@
 public:
     /// Time that a cancelled attempt has to complete, since its connection can then be reused.
     static constexpr std::chrono::milliseconds CancelDelay{150};
-    /// Combined body size of all responses that are being received.
-    static constexpr std::size_t MaxReceivedBytes = 32U * 1024U * 1024U;
     /// Covers a few round trips between regions.
     static constexpr std::chrono::milliseconds ConnectTimeout{250};
 
@@ -138,7 +135,6 @@
     transport::Counter &reusedConnections_;
     std::map<std::string, std::vector<ConnectionPtr>> idle_;
     std::map<AttemptKey, ActiveAttemptPtr> activeAttempts_;
-    ReceiveBudget receiveBudget_{MaxReceivedBytes};
     std::uint64_t connectionCount_ = 0;
     bool checkingTimeouts_ = false;
 };
--- a/transport/http_connection.cpp
+++ b/transport/http_connection.cpp
@@ -1,5 +1,7 @@
 #include "transport/http_connection.h"
 
+#include "transport/receive_budget.h"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -78,16 +80,13 @@
         closeNow();
         co_return makeError(writeError, sent > 0);
     }
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(DefaultMaxBodyBytes);
-    const auto [readError, received] =
-            co_await http::async_read(stream_, buffer_, parser, AwaitTuple);
-    if (readError) {
+    auto received = co_await receive();
+    if (!isOk(received)) {
         closeNow();
-        co_return makeError(readError, true);
+        co_return errorOf(received);
     }
     stream_.expires_never();
-    auto response = parser.release();
+    auto response = takeValue(received);
     // Bytes after the response would be read as the response to the next request.
     if (!response.keep_alive() || buffer_.size() > 0)
         closeNow();
@@ -100,6 +99,29 @@
     co_return result;
 }
 
+asio::awaitable<TransportResult<HttpConnection::Response>> HttpConnection::receive()
+{
+    const auto evict = [self = weak_from_this()] {
+        if (const auto connection = self.lock())
+            connection->close();
+    };
+    ReceiveBudget::Share share(processReceiveBudget(), evict);
+    http::response_parser<http::string_body> parser;
+    parser.eager(true);
+    parser.body_limit(DefaultMaxBodyBytes);
+    while (!parser.is_done()) {
+        const auto [error, bytes] =
+                co_await http::async_read_some(stream_, buffer_, parser, AwaitTuple);
+        const bool fits = !share.isEvicted() && share.growTo(parser.get().body().size());
+        if (!fits)
+            co_return TransportError{TransportErrorCode::TooLarge,
+                                     "the responses being received are too large in sum", true};
+        if (error)
+            co_return makeError(error, true);
+    }
+    co_return parser.release();
+}
+
 void HttpConnection::close()
 {
     open_ = false;
--- a/transport/http_connection.h
+++ b/transport/http_connection.h
@@ -6,6 +6,8 @@
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
 
 #include <memory>
 
@@ -42,6 +44,10 @@
     boost::asio::any_io_executor executor() { return stream_.get_executor(); }
 
 private:
+    using Response = boost::beast::http::response<boost::beast::http::string_body>;
+
+    /// Reads one response within the budget of the process.
+    boost::asio::awaitable<TransportResult<Response>> receive();
     void closeNow();
 
     boost::beast::tcp_stream stream_;
--- a/transport/transport.h
+++ b/transport/transport.h
@@ -13,6 +13,7 @@
 #include "transport/log.h"
 #include "transport/log_writer.h"
 #include "transport/metrics.h"
+#include "transport/receive_budget.h"
 #include "transport/request_framing.h"
 #include "transport/rpc_client.h"
 #include "transport/rpc_service.h"
