Return the memory of large bodies to the kernel

What operators would see: an agent of the own interface under endless bytes of the configuration service and of a peer grows to 152 and 153 MB (limit 128 MB), although the budget holds its responses at 32 MiB.

Cause: the C library raises the size from which it gives freed blocks back, up to 32 MiB, with each large block that is freed. A body that grows without a known length leaves one block of each size it has had, in each thread's arena.

Ruled out: the budget itself (the sum of the bodies stayed within it); counting the capacity of bodies in place of their size (the blocks are freed already).

Change: blocks from 1 MiB on are always returned when they are freed, set once with the budget of the process.

--- a/transport/receive_budget.cpp
+++ b/transport/receive_budget.cpp
@@ -1,5 +1,7 @@
 #include "transport/receive_budget.h"
 
+#include <malloc.h>
+
 #include <algorithm>
 
 namespace persimmon::transport {
@@ -8,6 +10,15 @@
 
 /// Size of the largest message, so that it can be received as long as it is the only one.
 constexpr std::size_t MaxReceivedBytes = 32U * 1024U * 1024U;
+/// Memory blocks of this size are returned to the kernel when they are freed. Otherwise the C
+/// library keeps each size that a growing body has had, for each thread.
+constexpr int ReturnedBlockBytes = 1024 * 1024;
+
+std::size_t initializeLimit()
+{
+    ::mallopt(M_MMAP_THRESHOLD, ReturnedBlockBytes);
+    return MaxReceivedBytes;
+}
 
 } // namespace
 
@@ -72,7 +83,7 @@
 
 ReceiveBudget &processReceiveBudget()
 {
-    static ReceiveBudget budget(MaxReceivedBytes);
+    static ReceiveBudget budget(initializeLimit());
     return budget;
 }
 
