Test random repetitions of responses

Bodies of up to 100 kB of random bytes, broken off anywhere, with copies, interim and own responses behind them in two segments: a caller gets its own whole body, or 502 or 504.

--- a/tests/forward/test_repeated_responses.cpp
+++ b/tests/forward/test_repeated_responses.cpp
@@ -4,7 +4,10 @@
 #include <doctest/doctest.h>
 
 #include <chrono>
+#include <cstdlib>
+#include <random>
 #include <string>
+#include <string_view>
 #include <vector>
 
 using namespace persimmon;
@@ -51,6 +54,55 @@
             {"HTTP/1.0", "HTTP/1.0 200 OK\r\n" + fields + "\r\n" + body, true}};
 }
 
+/// @return number of seeds of random repetitions; PERSIMMON_REPETITION_SEEDS sets another one for
+///         long runs.
+unsigned seedCount()
+{
+    const auto *text = std::getenv("PERSIMMON_REPETITION_SEEDS");
+    return text == nullptr ? 4 : static_cast<unsigned>(std::atoi(text));
+}
+
+/// Makes responses that break off anywhere, with other ones behind them, in two segments.
+class RandomRepetitions
+{
+public:
+    explicit RandomRepetitions(unsigned seed) : random_(seed) {}
+
+    std::string makeBody()
+    {
+        std::string body(pick(pick(2) == 0 ? 400 : 100'000), '\0');
+        for (auto &letter : body)
+            letter = static_cast<char>(pick(256));
+        return body;
+    }
+
+    RawResponse make(const std::string &own, const std::string &copy)
+    {
+        const auto missing = pick(own.size());
+        auto bytes = own.substr(0, own.size() - missing);
+        const auto brokenOff = bytes.size();
+        for (std::size_t count = pick(3); count > 0; --count)
+            bytes += pick(2) == 0 ? copy : "HTTP/1.1 102 Processing\r\n\r\n";
+        bytes += own;
+        // If the first segment ends where the body does, the last bytes must tell what they begin.
+        const auto bodyEnd = brokenOff + missing;
+        auto split = pick(bytes.size());
+        if (split == bodyEnd && missing < ToldBytes)
+            ++split;
+        RawResponse response{bytes.substr(0, split)};
+        response.later = bytes.substr(split);
+        response.laterBy = milliseconds(pick(3));
+        return response;
+    }
+
+private:
+    static constexpr std::size_t ToldBytes = std::string_view("HTTP/").size();
+
+    std::size_t pick(std::size_t limit) { return limit == 0 ? 0 : random_() % limit; }
+
+    std::mt19937 random_;
+};
+
 } // namespace
 
 // Guards against a body that is completed by the bytes of the next response on the connection.
@@ -101,6 +153,28 @@
     }
 }
 
+// Guards against the bytes of another response in any order, length and segmentation.
+TEST_CASE("random repetitions of a response never mix what callers receive")
+{
+    for (unsigned seed = 1; seed <= seedCount(); ++seed) {
+        RandomRepetitions repetitions(seed);
+        for (int i = 0; i < 20; ++i) {
+            CAPTURE(seed);
+            CAPTURE(i);
+            const auto body = repetitions.makeBody();
+            const auto own = responseTo("i1", body);
+            const auto repeated = repetitions.make(own, responseTo("i0", repetitions.makeBody()));
+            Fixture host;
+            const RawUpstream upstream([&repeated](const std::string &) { return repeated; });
+            host.addUpstream("s", "u1", upstream);
+            host.start();
+            const auto response = host.callWithId("i1", "/once/", "POST");
+            const bool isOwn = statusOf(response) == 200 && bodyOf(response) == body;
+            CHECK((isOwn || statusOf(response) == 502 || statusOf(response) == 504));
+        }
+    }
+}
+
 // Guards against a broken-off response of any kind, where another upstream could have answered.
 TEST_CASE("a request whose response is broken off and repeated is answered by another upstream")
 {
