--- a/forward/embedded_head.cpp
+++ b/forward/embedded_head.cpp
@@ -17,7 +17,7 @@
 /// Bytes of a head that are searched for a field that identifies it.
 constexpr std::size_t MaxHeadBytes = 16U * 1024U;
 constexpr std::size_t MaxStatusLineBytes = 256;
-/// Version, space and status.
+/// Position of the first digit of the status within a status line.
 constexpr std::size_t StatusPosition = 9;
 /// First digit of the status of an interim response, which has no body.
 constexpr char InterimStatusDigit = '1';
--- a/forward/embedded_head.h
+++ b/forward/embedded_head.h
@@ -22,6 +22,8 @@
 /// open connection is filled up to its length with the next response.
 /// @param body the complete body of a response.
 /// @param following the bytes that were received after it.
+/// @param names the fields of @p names for request id, signature and "not executed" identify a
+///        response.
 EmbeddedHead findEmbeddedHead(std::string_view body, std::string_view following,
                               const HeaderNames &names);
 
