Make the tests of late responses wait for the event, not for a time

They slept while the upstream sent its late copy; on a busy machine the copy could come after that. Now they wait until it has been sent. The two segments of a response follow each other at once, and the upstream of the tests sends small segments without waiting for the client.

--- a/tests/coordination/test_config_service_client.cpp
+++ b/tests/coordination/test_config_service_client.cpp
@@ -85,7 +85,8 @@
         const auto response = reading.get();
         REQUIRE(isOk(response));
         CHECK(valueOf(response).revision == since + 2);
-        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+        while (service.laterCount() < static_cast<int>(since))
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
     }
     runtime.stop();
 }
--- a/tests/forward/test_repeated_responses.cpp
+++ b/tests/forward/test_repeated_responses.cpp
@@ -211,7 +211,6 @@
         const RawUpstream upstream([&](const std::string &) {
             RawResponse response{own.substr(0, own.size() - missing) + own.substr(0, missing)};
             response.later = own.substr(missing);
-            response.laterBy = milliseconds(2);
             return response;
         });
         host.addUpstream("s", "u1", upstream);
--- a/tests/support/raw_http.cpp
+++ b/tests/support/raw_http.cpp
@@ -1,6 +1,7 @@
 #include "tests/support/raw_http.h"
 
 #include <arpa/inet.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -118,6 +119,9 @@
         if (socket < 0)
             continue;
         joinFinished();
+        // Otherwise the second of two segments waits until the client acknowledges the first one.
+        const int noDelay = 1;
+        ::setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &noDelay, sizeof noDelay);
         const std::lock_guard lock(mutex_);
         sockets_.push_back(socket);
         ++connectionCount_;
@@ -209,6 +213,7 @@
         if (!response.later.empty()) {
             std::this_thread::sleep_for(response.laterBy);
             ::send(socket, response.later.data(), response.later.size(), MSG_NOSIGNAL);
+            ++laterCount_;
         }
         if (!response.endless.empty())
             sendEndlessly(socket, response.endless);
--- a/tests/support/raw_http.h
+++ b/tests/support/raw_http.h
@@ -53,6 +53,9 @@
     /// @return the number of connections that the client closed while a request was handled.
     int abandonedCount() const { return abandonedCount_; }
 
+    /// @return how often RawResponse::later was sent.
+    int laterCount() const { return laterCount_; }
+
     /// @return the bytes of endless responses that the kernel has accepted.
     std::size_t endlessBytes() const { return endlessBytes_; }
 
@@ -75,6 +78,7 @@
     std::atomic<bool> stopping_ = false;
     std::atomic<int> abandonedCount_ = 0;
     std::atomic<std::size_t> endlessBytes_ = 0;
+    std::atomic<int> laterCount_ = 0;
     mutable std::mutex mutex_;
     std::vector<std::string> requests_;
     std::vector<int> sockets_;
--- a/tests/transport/test_http.cpp
+++ b/tests/transport/test_http.cpp
@@ -109,7 +109,8 @@
             await(runtime, connection->connect(valueOf(parseEndpoint(server.address())), 1s))));
     HttpRequest first("GET", "/first");
     CHECK(valueOf(await(runtime, connection->send(first, 1s))).body == "GET /first");
-    std::this_thread::sleep_for(50ms);
+    while (server.laterCount() == 0)
+        std::this_thread::sleep_for(1ms);
     HttpRequest second("GET", "/second");
     const auto response = await(runtime, connection->send(second, 1s));
     REQUIRE_FALSE(isOk(response));
