--- a/review/standin/case_run.cpp
+++ b/review/standin/case_run.cpp
@@ -105,10 +105,10 @@
     record_.write(accepted, "store accepted op/config " + config);
 }
 
-std::optional<HttpMessage> CaseRun::call(int host, const std::string &path,
-                                         const std::string &requestId) const
+std::optional<HttpMessage> CaseRun::call(const SocketAddress &address, const std::string &path,
+                                         const std::string &requestId)
 {
-    HttpStream stream(connectTo(hosts_.at(host)->addresses().front, ConnectLimit));
+    HttpStream stream(connectTo(address, ConnectLimit));
     if (!stream.socket().isOpen())
         return std::nullopt;
     stream.setReadTimeout(ResponseLimit);
@@ -117,6 +117,26 @@
     return stream.read();
 }
 
+std::optional<HttpMessage> CaseRun::call(int host, const std::string &path,
+                                         const std::string &requestId) const
+{
+    return call(hosts_.at(host)->addresses().front, path, requestId);
+}
+
+std::vector<int> CaseRun::locate(int host, const HostPlace &place) const
+{
+    const auto answer =
+            call(hosts_.at(host)->addresses().directory,
+                 "/resolve?name=trials.example&region=" + place.region + "&zone=" + place.zone,
+                 "directory");
+    std::vector<int> named;
+    for (std::size_t i = 0; i < hosts_.size() && answer; ++i) {
+        if (answer->body.find('"' + hosts_[i]->addresses().front.text() + '"') != std::string::npos)
+            named.push_back(static_cast<int>(i));
+    }
+    return named;
+}
+
 void CaseRun::recordArrivals()
 {
     for (const auto &upstream : upstreams_) {
--- a/review/standin/case_run.h
+++ b/review/standin/case_run.h
@@ -57,10 +57,19 @@
                        const std::vector<std::string> &services);
 
     /// Sends a request on a new connection.
+    /// @param address of a host for callers.
     /// @return the response, or std::nullopt if the connection ended without one.
+    static std::optional<HttpMessage> call(const SocketAddress &address, const std::string &path,
+                                           const std::string &requestId);
+
+    /// Sends a request to the host with this number.
     std::optional<HttpMessage> call(int host, const std::string &path,
                                     const std::string &requestId) const;
 
+    /// Asks the directory of a host where a caller in @p place should connect.
+    /// @return numbers of the hosts that the answer names.
+    std::vector<int> locate(int host, const HostPlace &place) const;
+
     /// Writes the requests that the upstreams ran to the record.
     void recordArrivals();
 
