Review stand-ins: other networks first, and the log of a host that does not start

Cause: two cases that were started in the same moment chose the same addresses; one play of case 7 and one of case 8 ended with 2 (not run). Change: each case tries another network first, and writes the log of a host that did not become ready to its record.

--- a/review/standin/case_run.cpp
+++ b/review/standin/case_run.cpp
@@ -67,9 +67,14 @@
         started = hosts_[i]->start(store_->addressFor(static_cast<int>(i)), seeds, places_);
         std::this_thread::sleep_for(StartInterval);
     }
-    for (const auto &host : hosts_)
-        started = started && host->waitUntilReady(ReadyLimit);
-    record_.write(started ? "all hosts are ready" : "a host did not start");
+    for (const auto &host : hosts_) {
+        if (started && !host->waitUntilReady(ReadyLimit)) {
+            started = false;
+            record_.write("a host did not become ready; its log:\n" + host->readLog());
+        }
+    }
+    if (started)
+        record_.write("all hosts are ready");
     return started;
 }
 
--- a/review/standin/host_process.cpp
+++ b/review/standin/host_process.cpp
@@ -51,8 +51,11 @@
 {
     constexpr int MetricsPort = 9109;
     constexpr int FirstNetwork = 40;
-    constexpr int LastNetwork = 250;
-    for (int second = FirstNetwork; second < LastNetwork; ++second) {
+    constexpr int NetworkCount = 210;
+    // Cases that start at the same time try different networks first.
+    const auto first = static_cast<int>(::getpid());
+    for (int i = 0; i < NetworkCount; ++i) {
+        const auto second = FirstNetwork + (first + i) % NetworkCount;
         const auto network = "127." + std::to_string(second) + ".0.";
         bool free = true;
         for (int host = 1; host <= count; ++host) {
@@ -166,6 +169,13 @@
     return false;
 }
 
+std::string HostProcess::readLog() const
+{
+    std::ostringstream text;
+    text << std::ifstream(logPath_).rdbuf();
+    return text.str();
+}
+
 void HostProcess::sendSignal(int signal) const
 {
     if (process_ > 0)
--- a/review/standin/host_process.h
+++ b/review/standin/host_process.h
@@ -46,6 +46,9 @@
 
     void sendSignal(int signal) const;
 
+    /// @return what the process has logged so far.
+    std::string readLog() const;
+
 private:
     std::string settings(const SocketAddress &store, const std::vector<std::string> &seeds,
                          const std::vector<HostPlace> &places) const;
