Tell hosts that have lost the path to all upstreams from upstreams that are gone

The log had attempts that fail, and nothing that says whether a host could have reached any upstream at that time. Attempts to three upstreams that get no response for 400 ms, or new connections that three upstreams do not accept, now raise a suspicion, and trial connections to four upstreams of as many failure domains as possible decide.

Ruled out as evidence: failed attempts alone (a failure domain that is down gives many), and the silence of peers.

--- a/forward/forward.h
+++ b/forward/forward.h
@@ -16,5 +16,6 @@
 #include "forward/session_phase.h"
 #include "forward/status_line.h"
 #include "forward/upstream_notice_parser.h"
+#include "forward/upstream_path_monitor.h"
 #include "forward/upstream_response.h"
 #include "forward/used_connections.h"
--- a/forward/forwarding_client.cpp
+++ b/forward/forwarding_client.cpp
@@ -195,6 +195,18 @@
     co_return result;
 }
 
+asio::awaitable<bool> ForwardingClient::tryConnect(protocol::HostRecord upstream)
+{
+    // The ids of sub-requests start at 1.
+    const AttemptKey key{0, ++trialCount_};
+    auto attempt = std::make_shared<ActiveAttempt>();
+    activeAttempts_[key] = attempt;
+    startTimeoutChecks();
+    const bool accepted = co_await reconnect(attempt, std::move(upstream));
+    activeAttempts_.erase(key);
+    co_return accepted;
+}
+
 asio::awaitable<bool> ForwardingClient::connect(ActiveAttemptPtr attempt, std::string address)
 {
     const auto endpoint = transport::parseEndpoint(address);
--- a/forward/forwarding_client.h
+++ b/forward/forwarding_client.h
@@ -52,6 +52,10 @@
             std::shared_ptr<const ForwardRequest> request, transport::TimePoint deadline,
             bool idempotent, std::shared_ptr<UsedConnections> used);
 
+    /// Opens a connection to @p upstream, which the next request to it uses.
+    /// @return whether the upstream accepted the connection.
+    boost::asio::awaitable<bool> tryConnect(protocol::HostRecord upstream);
+
     /// Cancels an attempt. Its connection is closed after CancelDelay unless the response arrives.
     void cancel(AttemptKey key);
 
@@ -97,7 +101,7 @@
     bool isUsable(Connection &connection, bool idempotent) const;
     void releaseIdle(const std::string &upstream, const ConnectionPtr &connection);
     boost::asio::awaitable<bool> connect(ActiveAttemptPtr attempt, std::string address);
-    /// Replaces the lost connection of an attempt, for the next request to the upstream.
+    /// Opens a connection for the next request to the upstream.
     /// @return whether the upstream accepted the connection.
     boost::asio::awaitable<bool> reconnect(ActiveAttemptPtr attempt, protocol::HostRecord upstream);
     boost::asio::awaitable<state::AttemptResult>
@@ -136,6 +140,7 @@
     std::map<std::string, std::vector<ConnectionPtr>> idle_;
     std::map<AttemptKey, ActiveAttemptPtr> activeAttempts_;
     std::uint64_t connectionCount_ = 0;
+    std::uint32_t trialCount_ = 0;
     bool checkingTimeouts_ = false;
 };
 
--- a/forward/request_forwarder.cpp
+++ b/forward/request_forwarder.cpp
@@ -73,12 +73,14 @@
 
 RequestForwarder::RequestForwarder(transport::Runtime &runtime, transport::Metrics &metrics,
                                    ForwardingClient &client, ServiceExecutors &services,
-                                   CrashGate &crashGate, ForwarderOptions options)
+                                   CrashGate &crashGate, UpstreamPathMonitor &path,
+                                   ForwarderOptions options)
     : runtime_(runtime),
       metrics_(metrics),
       client_(client),
       services_(services),
       crashGate_(crashGate),
+      path_(path),
       options_(std::move(options))
 {
 }
@@ -213,8 +215,10 @@
     }
     const auto startedAt = runtime_.clock().now();
     const auto target = crashGate_.onAttemptStarted(*request, *trace, upstream);
+    path_.onAttemptStarted(upstream.name);
     auto result =
             co_await client_.execute(key, upstream, request, deadline, idempotent, std::move(used));
+    path_.onAttemptEnded(upstream.name, result);
     crashGate_.onAttemptEnded(*request, *trace, target, result);
     const bool isExpected =
             result.end == state::AttemptEnd::Answered || result.end == state::AttemptEnd::Cancelled;
--- a/forward/request_forwarder.h
+++ b/forward/request_forwarder.h
@@ -2,6 +2,7 @@
 
 #include "forward/crash_gate.h"
 #include "forward/service_executors.h"
+#include "forward/upstream_path_monitor.h"
 
 #include <cstdint>
 #include <functional>
@@ -32,7 +33,7 @@
 public:
     RequestForwarder(transport::Runtime &runtime, transport::Metrics &metrics,
                      ForwardingClient &client, ServiceExecutors &services, CrashGate &crashGate,
-                     ForwarderOptions options);
+                     UpstreamPathMonitor &path, ForwarderOptions options);
 
     /// Applies a new version of the configuration to subsequent requests. Active requests keep the
     /// version that they started with.
@@ -114,6 +115,7 @@
     ForwardingClient &client_;
     ServiceExecutors &services_;
     CrashGate &crashGate_;
+    UpstreamPathMonitor &path_;
     ForwarderOptions options_;
     std::shared_ptr<const state::RouteTable> routes_;
     std::map<std::string, state::WeightedSplit> splits_;
--- a/host/host_daemon.cpp
+++ b/host/host_daemon.cpp
@@ -70,7 +70,8 @@
       forwardingClient_(runtime, metrics_, hooks_.headerNames),
       services_(context_, registry_, options_.limits),
       crashGate_(runtime, crashes_, makeCrashGateHooks()),
-      forwarder_(runtime, metrics_, forwardingClient_, services_, crashGate_,
+      path_(runtime, metrics_, forwardingClient_, makeUpstreamPathHooks()),
+      forwarder_(runtime, metrics_, forwardingClient_, services_, crashGate_, path_,
                  makeForwarderOptions()),
       follower_(runtime, hooks_.store,
                 {[this] {
@@ -129,6 +130,16 @@
     return hooks;
 }
 
+forward::UpstreamPathHooks HostDaemon::makeUpstreamPathHooks()
+{
+    forward::UpstreamPathHooks hooks;
+    hooks.upstreamCount = [this] { return registry_.usableCount(); };
+    hooks.sampleUpstreams = [this](std::size_t count) {
+        return registry_.sampleUpstreams(count, random_);
+    };
+    return hooks;
+}
+
 forward::ForwarderOptions HostDaemon::makeForwarderOptions()
 {
     forward::ForwarderOptions result;
@@ -161,6 +172,7 @@
     bootClockOffset_ = bootClockOffset(runtime_.clock().now());
     follower_.start();
     exchange_.start();
+    path_.start();
     runtime_.spawn(tick());
     transport::logInfo(Part, "started",
                        {{"host", options_.name},
--- a/host/host_daemon.h
+++ b/host/host_daemon.h
@@ -3,6 +3,7 @@
 #include "host/host_options.h"
 
 #include <memory>
+#include <random>
 #include <set>
 #include <string>
 
@@ -32,6 +33,7 @@
 
 private:
     forward::CrashGateHooks makeCrashGateHooks();
+    forward::UpstreamPathHooks makeUpstreamPathHooks();
     forward::ForwarderOptions makeForwarderOptions();
     void onRecordsChanged(const std::vector<state::StoreRecord> &records);
     /// Applies a decoded record and adds the affected services to @p changedServices.
@@ -72,6 +74,8 @@
     forward::ForwardingClient forwardingClient_;
     forward::ServiceExecutors services_;
     forward::CrashGate crashGate_;
+    std::mt19937_64 random_{std::random_device{}()};
+    forward::UpstreamPathMonitor path_;
     forward::RequestForwarder forwarder_;
     coordination::RecordFollower follower_;
     coordination::PeerExchange exchange_;
--- a/state/state.h
+++ b/state/state.h
@@ -41,6 +41,7 @@
 #include "state/top_records.h"
 #include "state/upstream_notice.h"
 #include "state/upstream_ramp.h"
+#include "state/upstream_reachability.h"
 #include "state/upstream_registry.h"
 #include "state/upstream_restrictions.h"
 #include "state/view_store.h"
--- a/state/upstream_registry.cpp
+++ b/state/upstream_registry.cpp
@@ -167,9 +167,7 @@
         if (!home || !isUsable(upstream))
             continue;
         const auto traits = traitsOf(upstream, info, share, limits);
-        settings.available.push_back({id, protocol::HostKind::Upstream, upstream.record.address,
-                                      upstream.record.failureDomain, service,
-                                      protocol::HostState::Live});
+        settings.available.push_back(toHostRecord(upstream.record));
         settings.traits.emplace(id, traits);
         settings.share = std::max(settings.share, traits.limit);
     }
@@ -177,6 +175,46 @@
     return settings;
 }
 
+protocol::HostRecord UpstreamRegistry::toHostRecord(const UpstreamRecord &record)
+{
+    return {record.id,      protocol::HostKind::Upstream, record.address, record.failureDomain,
+            record.service, protocol::HostState::Live};
+}
+
+std::size_t UpstreamRegistry::usableCount() const
+{
+    return static_cast<std::size_t>(
+            std::count_if(upstreams_.begin(), upstreams_.end(),
+                          [this](const auto &entry) { return isUsable(entry.second); }));
+}
+
+std::vector<protocol::HostRecord> UpstreamRegistry::sampleUpstreams(std::size_t count,
+                                                                    std::mt19937_64 &random) const
+{
+    std::map<std::string, std::vector<const UpstreamRecord *>> byDomain;
+    for (const auto &[id, upstream] : upstreams_) {
+        if (isUsable(upstream))
+            byDomain[upstream.record.failureDomain].push_back(&upstream.record);
+    }
+    std::vector<std::vector<const UpstreamRecord *>> domains;
+    for (auto &[domain, records] : byDomain) {
+        std::shuffle(records.begin(), records.end(), random);
+        domains.push_back(std::move(records));
+    }
+    std::shuffle(domains.begin(), domains.end(), random);
+    std::vector<protocol::HostRecord> sample;
+    for (std::size_t rank = 0; sample.size() < count; ++rank) {
+        const auto before = sample.size();
+        for (const auto &records : domains) {
+            if (rank < records.size() && sample.size() < count)
+                sample.push_back(toHostRecord(*records[rank]));
+        }
+        if (sample.size() == before)
+            break;
+    }
+    return sample;
+}
+
 std::uint64_t UpstreamRegistry::incarnationOf(const std::string &id) const
 {
     const auto found = upstreams_.find(id);
--- a/state/upstream_registry.h
+++ b/state/upstream_registry.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -86,6 +87,14 @@
     /// @return the regions in which the service has a usable upstream.
     std::set<std::string> regionsOf(const std::string &service) const;
 
+    /// @return the number of upstreams that may be used.
+    std::size_t usableCount() const;
+
+    /// @return up to @p count random upstreams that may be used, of as many failure domains as
+    ///         possible.
+    std::vector<protocol::HostRecord> sampleUpstreams(std::size_t count,
+                                                      std::mt19937_64 &random) const;
+
     /// @return UpstreamRecord::incarnation of an upstream; 0 if it is not registered.
     std::uint64_t incarnationOf(const std::string &id) const;
 
@@ -101,6 +110,7 @@
     };
 
     bool isUsable(const Upstream &upstream) const;
+    static protocol::HostRecord toHostRecord(const UpstreamRecord &record);
     const std::string &regionOf(const UpstreamRecord &record) const;
     static std::uint32_t coldRateOf(const UpstreamRecord &record, const ServiceInfo &info,
                                     const HostShare &share, const SharedLimits &limits);
--- a/tests/forward/forwarder_fixture.h
+++ b/tests/forward/forwarder_fixture.h
@@ -113,8 +113,9 @@
     forward::ServiceExecutors services{context, registry, {50, 1, 0}};
     state::CrashEvidence crashes;
     forward::CrashGate crashGate{runtime, crashes, {}};
-    forward::RequestForwarder forwarder{runtime,  metrics,   client,
-                                        services, crashGate, {makeNames(), 0.2, ReturnLatency}};
+    forward::UpstreamPathMonitor path{runtime, metrics, client, {}};
+    forward::RequestForwarder forwarder{
+            runtime, metrics, client, services, crashGate, path, {makeNames(), 0.2, ReturnLatency}};
     forward::FrontendServer server{runtime, makeNames(), [this](auto request, auto monitor) {
                                        return forwarder.serve(std::move(request),
                                                               std::move(monitor));
