Failing test: callers of a host that is cut from all upstreams

Three hosts in one process, each with its own proxies to all upstreams, since processes on loopback cannot be told apart by address. A proxy that plays a partition holds back all data and fills its own backlog, so that new connections hang as in a real cut.

The proxy of the soak and the choice of free ports move to tests/support, where this test shares them.

--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "tests/soak/fault_plan.h"
-#include "tests/soak/fault_proxy.h"
+#include "tests/support/fault_proxy.h"
 #include "tests/soak/invariant_checker.h"
 #include "tests/soak/store_writers.h"
 #include "tests/system/platform_cluster.h"
--- a/tests/soak/fault_proxy.cpp
+++ b/tests/support/fault_proxy.cpp
@@ -1,10 +1,10 @@
-#include "tests/soak/fault_proxy.h"
+#include "tests/support/fault_proxy.h"
 
 #include <boost/asio.hpp>
 
 #include <sys/socket.h>
 
-#include <vector>
+#include <future>
 
 namespace asio = boost::asio;
 using asio::ip::tcp;
@@ -58,6 +58,7 @@
 
 FaultProxy::FaultProxy(const std::string &target)
     : acceptor_(context_, loopbackEndpoint(0)),
+      endpoint_(acceptor_.local_endpoint()),
       targetPort_(parsePort(target))
 {
     asio::co_spawn(context_, acceptConnections(), asio::detached);
@@ -72,14 +73,60 @@
 
 std::string FaultProxy::address() const
 {
-    return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+    return "127.0.0.1:" + std::to_string(endpoint_.port());
 }
 
 void FaultProxy::setMode(ProxyMode mode)
 {
+    std::promise<void> applied;
+    asio::post(context_, [this, mode, &applied] {
+        applyMode(mode);
+        applied.set_value();
+    });
+    applied.get_future().wait();
+}
+
+void FaultProxy::applyMode(ProxyMode mode)
+{
+    const bool accepts = mode != ProxyMode::Partition && mode != ProxyMode::PartitionRefusing
+                         && mode != ProxyMode::RefuseNew;
+    const bool accepted = acceptor_.is_open() && backlogFillers_.empty();
     mode_ = mode;
     if (mode == ProxyMode::Reset)
-        asio::post(context_, [this] { resetAll(); });
+        resetAll();
+    if (accepts && accepted)
+        return;
+    boost::system::error_code ignored;
+    acceptor_.close(ignored);
+    backlogFillers_.clear();
+    if (mode == ProxyMode::PartitionRefusing || mode == ProxyMode::RefuseNew)
+        return;
+    acceptor_ = tcp::acceptor(context_, endpoint_);
+    if (accepts)
+        asio::co_spawn(context_, acceptConnections(), asio::detached);
+    else
+        fillBacklog();
+}
+
+void FaultProxy::fillBacklog()
+{
+    // The kernel accepts one connection more than the backlog.
+    constexpr int FillerCount = 2;
+    boost::system::error_code ignored;
+    acceptor_.listen(0, ignored);
+    for (int i = 0; i < FillerCount; ++i) {
+        backlogFillers_.emplace_back(context_, tcp::v4());
+        backlogFillers_.back().non_blocking(true, ignored);
+        // A connect of Asio would wait for the kernel to accept the connection.
+        ::connect(backlogFillers_.back().native_handle(), endpoint_.data(), endpoint_.size());
+    }
+}
+
+bool FaultProxy::isHeld(bool toTarget) const
+{
+    const auto mode = mode_.load();
+    return mode == (toTarget ? ProxyMode::HoldToTarget : ProxyMode::HoldFromTarget)
+           || mode == ProxyMode::Partition || mode == ProxyMode::PartitionRefusing;
 }
 
 void FaultProxy::stallOpenConnections()
@@ -142,13 +189,12 @@
 {
     auto &from = toTarget ? connection->caller : connection->target;
     auto &into = toTarget ? connection->target : connection->caller;
-    const auto hold = toTarget ? ProxyMode::HoldToTarget : ProxyMode::HoldFromTarget;
     std::vector<char> chunk(ChunkBytes);
     while (true) {
         const auto [error, count] = co_await from.async_read_some(asio::buffer(chunk), AsTuple);
         if (mode_ == ProxyMode::Delay)
             co_await sleepFor(DelayTime);
-        while (mode_ == hold || connection->stalled)
+        while (isHeld(toTarget) || connection->stalled)
             co_await sleepFor(HoldPollInterval);
         boost::system::error_code ignored;
         if (error) {
--- a/tests/soak/fault_proxy.h
+++ b/tests/support/fault_proxy.h
@@ -14,6 +14,7 @@
 #include <set>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace persimmon::tests {
 
@@ -28,14 +29,23 @@
     HoldToTarget,
     /// Data from the target is held back until the mode changes.
     HoldFromTarget,
+    /// All data is held back, and new connections are not accepted, as in a partition.
+    Partition,
+    /// As Partition, but new connections are refused.
+    PartitionRefusing,
+    /// Open connections work, and new ones are refused.
+    RefuseNew,
 };
 
-inline constexpr std::array<EnumName<ProxyMode>, 5> ProxyModeNames{{
+inline constexpr std::array<EnumName<ProxyMode>, 8> ProxyModeNames{{
         {ProxyMode::Pass, "pass"},
         {ProxyMode::Delay, "delay"},
         {ProxyMode::Reset, "reset"},
         {ProxyMode::HoldToTarget, "hold_to_target"},
         {ProxyMode::HoldFromTarget, "hold_from_target"},
+        {ProxyMode::Partition, "partition"},
+        {ProxyMode::PartitionRefusing, "partition_refusing"},
+        {ProxyMode::RefuseNew, "refuse_new"},
 }};
 
 /// TCP relay on the loopback interface that injects connection faults. Thread-safe; runs on its own
@@ -54,6 +64,7 @@
     /// @return "127.0.0.1:port" of this proxy.
     std::string address() const;
 
+    /// Completes after the mode is in force.
     void setMode(ProxyMode mode);
 
     /// Stops relaying data on all open connections without closing them. New connections are not
@@ -71,9 +82,15 @@
     boost::asio::awaitable<void> relayData(std::shared_ptr<RelayedConnection> connection,
                                            bool toTarget);
     void resetAll();
+    void applyMode(ProxyMode mode);
+    bool isHeld(bool toTarget) const;
+    /// Makes the kernel ignore new connections: those that fill the backlog are never accepted.
+    void fillBacklog();
 
     boost::asio::io_context context_{1};
     boost::asio::ip::tcp::acceptor acceptor_;
+    const boost::asio::ip::tcp::endpoint endpoint_;
+    std::vector<boost::asio::ip::tcp::socket> backlogFillers_;
     std::atomic<ProxyMode> mode_ = ProxyMode::Pass;
     std::atomic<int> targetPort_;
     std::set<std::shared_ptr<RelayedConnection>> connections_;
--- a/tests/system/platform_cluster.cpp
+++ b/tests/system/platform_cluster.cpp
@@ -1,13 +1,12 @@
 #include "tests/system/platform_cluster.h"
 
-#include <arpa/inet.h>
-#include <sys/socket.h>
+#include "tests/support/free_port.h"
+
 #include <unistd.h>
 
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
-#include <random>
 #include <thread>
 
 namespace persimmon::tests {
@@ -18,29 +17,6 @@
 /// Number of failure domains over which the hosts are distributed.
 constexpr int ZoneCount = 3;
 
-/// @return a free port that was not returned before, outside the range of ephemeral ports: a
-///         connection of another test could otherwise occupy it before the host listens.
-int allocatePort()
-{
-    constexpr int First = 10'000;
-    constexpr int Last = 32'000;
-    static std::mt19937 random{std::random_device{}()};
-    static std::set<int> allocated;
-    while (true) {
-        const int port = std::uniform_int_distribution<int>(First, Last)(random);
-        const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_port = htons(static_cast<std::uint16_t>(port));
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        const bool free =
-                ::bind(socket, reinterpret_cast<sockaddr *>(&address), sizeof address) == 0;
-        ::close(socket);
-        if (free && allocated.insert(port).second)
-            return port;
-    }
-}
-
 std::string loopbackAddress(int port)
 {
     return "127.0.0.1:" + std::to_string(port);
