--- a/coordination/peer_message.cpp
+++ b/coordination/peer_message.cpp
@@ -26,6 +26,9 @@
     StoreUnreachable,
     Capacity,
     Load,
+    /// Hosts of earlier versions leave out the columns from here on.
+    Relay,
+    UpstreamsUnreachable,
 };
 /// Array positions of the columns of a store record. The value is null for a deleted key. The
 /// columns from Era are left out if the revision was assigned in the era of the message and no
@@ -64,6 +67,10 @@
     member.storeUnreachable = columns.at(StoreUnreachable).to_number<int>() != 0;
     member.capacity = columns.at(Capacity).to_number<std::uint32_t>();
     member.load = columns.at(Load).to_number<std::uint32_t>();
+    if (columns.size() > Relay && !columns.at(Relay).as_string().empty())
+        member.relay = readAddress(columns.at(Relay));
+    if (columns.size() > UpstreamsUnreachable)
+        member.upstreamsUnreachable = columns.at(UpstreamsUnreachable).to_number<int>() != 0;
     return member;
 }
 
@@ -199,10 +206,11 @@
 {
     json::array members;
     for (const auto &member : message.members) {
-        members.push_back(json::array{
-                member.control, member.front, member.failureDomain, member.region,
-                member.incarnation, member.heartbeat, static_cast<std::uint64_t>(member.phase),
-                member.storeUnreachable ? 1 : 0, member.capacity, member.load});
+        members.push_back(json::array{member.control, member.front, member.failureDomain,
+                                      member.region, member.incarnation, member.heartbeat,
+                                      static_cast<std::uint64_t>(member.phase),
+                                      member.storeUnreachable ? 1 : 0, member.capacity, member.load,
+                                      member.relay, member.upstreamsUnreachable ? 1 : 0});
     }
     json::array heartbeats;
     for (const auto &heartbeat : message.heartbeats) {
--- a/forward/forward.h
+++ b/forward/forward.h
@@ -8,6 +8,8 @@
 #include "forward/frontend_server.h"
 #include "forward/header_names.h"
 #include "forward/parse_error.h"
+#include "forward/peer_fields.h"
+#include "forward/peer_relay.h"
 #include "forward/request_forwarder.h"
 #include "forward/response_faults.h"
 #include "forward/response_head.h"
--- a/forward/forward_request.cpp
+++ b/forward/forward_request.cpp
@@ -1,5 +1,6 @@
 #include "forward/forward_request.h"
 
+#include "forward/peer_fields.h"
 #include "state/fingerprint.h"
 
 #include <boost/beast/core/string.hpp>
@@ -57,6 +58,28 @@
     return {text.data(), text.size()};
 }
 
+std::string_view fieldOf(const HttpMessage &message, std::string_view name)
+{
+    return toStringView(message[beast::string_view(name.data(), name.size())]);
+}
+
+/// @return whether the field is one that this tier sets itself for each attempt.
+bool isOwnField(std::string_view name, const HeaderNames &names)
+{
+    return equalsIgnoreCase(name, "content-length") || equalsIgnoreCase(name, names.timeLeft)
+           || equalsIgnoreCase(name, names.expectedInstance) || equalsIgnoreCase(name, PeerAgeField)
+           || equalsIgnoreCase(name, PeerConfigField);
+}
+
+PassedOn readPassedOn(const HttpMessage &message)
+{
+    PassedOn passedOn;
+    passedOn.age = parseTimeout(fieldOf(message, PeerAgeField)).value_or(passedOn.age);
+    const auto version = fieldOf(message, PeerConfigField);
+    std::from_chars(version.data(), version.data() + version.size(), passedOn.configVersion);
+    return passedOn;
+}
+
 } // namespace
 
 bool isHopByHop(std::string_view name, std::string_view connection)
@@ -79,14 +102,32 @@
     text.append(head);
     text.append(names.timeLeft).append(": ").append(std::to_string(timeLeft.count()));
     text.append("\r\n").append(names.expectedInstance).append(": ").append(instance);
-    if (!body.empty() || method == "POST" || method == "PUT" || method == "PATCH")
-        text.append("\r\nContent-Length: ").append(std::to_string(body.size()));
-    text.append("\r\n\r\n").append(body);
+    appendBody(text.append("\r\n"));
+    return text;
+}
+
+std::string ForwardRequest::serializeForPeer(const HeaderNames &names,
+                                             const PassedOn &passing) const
+{
+    std::string text = head;
+    if (callerTimeout)
+        text.append(names.timeLeft).append(": ").append(std::to_string(callerTimeout->count()));
+    text.append(callerTimeout ? "\r\n" : "").append(PeerAgeField).append(": ");
+    text.append(std::to_string(passing.age.count())).append("\r\n");
+    text.append(PeerConfigField).append(": ").append(std::to_string(passing.configVersion));
+    appendBody(text.append("\r\n"));
     return text;
 }
 
+void ForwardRequest::appendBody(std::string &text) const
+{
+    if (!body.empty() || method == "POST" || method == "PUT" || method == "PATCH")
+        text.append("Content-Length: ").append(std::to_string(body.size())).append("\r\n");
+    text.append("\r\n").append(body);
+}
+
 ForwardRequest makeForwardRequest(const HttpMessage &message, const HeaderNames &names,
-                                  transport::TimePoint receivedAt)
+                                  transport::TimePoint arrivedAt, RequestSource source)
 {
     ForwardRequest request;
     request.method = std::string(message.method_string());
@@ -96,15 +137,16 @@
     request.body = message.body();
     request.fingerprint =
             state::requestFingerprint(request.method, request.host, request.target, request.body);
-    request.receivedAt = receivedAt;
+    if (source == RequestSource::Peer)
+        request.passedOn = readPassedOn(message);
+    request.receivedAt =
+            arrivedAt - (request.passedOn ? request.passedOn->age : std::chrono::milliseconds(0));
     request.callerTimeout = parseTimeout(toStringView(message[names.timeLeft]));
     request.head = request.method + " " + request.target + " HTTP/1.1\r\n";
     const auto connection = toStringView(message[http::field::connection]);
     for (const auto &field : message) {
         const auto name = toStringView(field.name_string());
-        if (isHopByHop(name, connection) || equalsIgnoreCase(name, "content-length")
-            || equalsIgnoreCase(name, names.timeLeft)
-            || equalsIgnoreCase(name, names.expectedInstance))
+        if (isHopByHop(name, connection) || isOwnField(name, names))
             continue;
         request.head.append(name).append(": ").append(toStringView(field.value())).append("\r\n");
     }
--- a/forward/forwarding_client.cpp
+++ b/forward/forwarding_client.cpp
@@ -111,15 +111,35 @@
 
 } // namespace
 
+ServerProtocol makeUpstreamProtocol(const HeaderNames &names)
+{
+    ServerProtocol protocol;
+    protocol.serialize = [names](const ForwardRequest &request, const std::string &upstream,
+                                 std::chrono::milliseconds timeLeft) {
+        return request.serialize(names, upstream, timeLeft);
+    };
+    protocol.classify = [names](UpstreamResponse response, const std::string &requestId) {
+        return classifyResponse(std::move(response), names, requestId);
+    };
+    return protocol;
+}
+
 ForwardingClient::ForwardingClient(transport::Runtime &runtime, transport::Metrics &metrics,
                                    HeaderNames names)
+    : ForwardingClient(runtime, metrics, names, makeUpstreamProtocol(names))
+{
+}
+
+ForwardingClient::ForwardingClient(transport::Runtime &runtime, transport::Metrics &metrics,
+                                   HeaderNames names, ServerProtocol protocol)
     : runtime_(runtime),
       names_(std::move(names)),
+      protocol_(std::move(protocol)),
       noticeParser_(metrics, names_),
       faults_(metrics),
-      openedConnections_(metrics.counter("persimmon_upstream_connections_total",
-                                         "Connections opened to upstreams.")),
-      reusedConnections_(metrics.counter("persimmon_upstream_reuses_total",
+      openedConnections_(metrics.counter(protocol_.metricPrefix + "_connections_total",
+                                         "Connections opened.")),
+      reusedConnections_(metrics.counter(protocol_.metricPrefix + "_reuses_total",
                                          "Requests sent on a reused connection."))
 {
 }
@@ -252,7 +272,7 @@
     }
     attempt->timeoutAt = deadline + DeadlineMargin;
     const auto connection = attempt->connection;
-    const auto bytes = request->serialize(names_, upstream, timeLeft);
+    const auto bytes = protocol_.serialize(*request, upstream, timeLeft);
     const auto [writeError, sent] =
             co_await asio::async_write(connection->socket, asio::buffer(bytes), AwaitTuple);
     if (writeError) {
@@ -275,7 +295,7 @@
     connection->idleTimeout = parseIdleTimeout(response[http::field::keep_alive]);
     const auto notice = noticeParser_.parse(response, upstream,
                                             response.result() == http::status::service_unavailable);
-    result = classifyResponse(std::move(response), names_, request->id);
+    result = protocol_.classify(std::move(response), request->id);
     const bool isOwn =
             result.end != state::AttemptEnd::Dropped && result.end != state::AttemptEnd::Replaced;
     if (isOwn)
@@ -429,7 +449,7 @@
         return;
     auto &attempt = *found->second;
     attempt.cancelled = true;
-    attempt.timeoutAt = std::min(attempt.timeoutAt, runtime_.clock().now() + CancelDelay);
+    attempt.timeoutAt = std::min(attempt.timeoutAt, runtime_.clock().now() + protocol_.cancelDelay);
 }
 
 void ForwardingClient::startTimeoutChecks()
--- a/forward/forwarding_client.h
+++ b/forward/forwarding_client.h
@@ -8,6 +8,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -28,18 +29,39 @@
     }
 };
 
+/// How a ForwardingClient speaks to the servers of its requests.
+struct ServerProtocol
+{
+    /// Serializes a request for one attempt.
+    std::function<std::string(const ForwardRequest &request, const std::string &server,
+                              std::chrono::milliseconds timeLeft)>
+            serialize;
+    /// Classifies a complete response to the request with this id.
+    std::function<state::AttemptResult(UpstreamResponse response, const std::string &requestId)>
+            classify;
+    /// Time that a cancelled attempt has to complete, since its connection can then be reused.
+    std::chrono::milliseconds cancelDelay{150};
+    /// Prefix of the names of the metrics.
+    std::string metricPrefix = "persimmon_upstream";
+};
+
+/// @return the protocol of upstreams.
+ServerProtocol makeUpstreamProtocol(const HeaderNames &names);
+
 /// HTTP/1.1 client that sends forwarded requests to upstreams over pooled persistent connections.
 /// Requires a single-threaded runtime and must outlive the coroutines that it returns.
 class ForwardingClient
 {
 public:
-    /// Time that a cancelled attempt has to complete, since its connection can then be reused.
-    static constexpr std::chrono::milliseconds CancelDelay{150};
     /// Covers a few round trips between regions.
     static constexpr std::chrono::milliseconds ConnectTimeout{250};
 
+    /// Speaks the protocol of upstreams.
     ForwardingClient(transport::Runtime &runtime, transport::Metrics &metrics, HeaderNames names);
 
+    ForwardingClient(transport::Runtime &runtime, transport::Metrics &metrics, HeaderNames names,
+                     ServerProtocol protocol);
+
     /// Sends @p request to @p upstream and waits for the response.
     /// @param deadline time by which the upstream must have responded.
     /// @param idempotent whether the request may be executed more than once. If false, an idle
@@ -56,7 +78,8 @@
     /// @return whether the upstream accepted the connection.
     boost::asio::awaitable<bool> tryConnect(protocol::HostRecord upstream);
 
-    /// Cancels an attempt. Its connection is closed after CancelDelay unless the response arrives.
+    /// Cancels an attempt. Its connection is closed after
+    /// ServerProtocol::cancelDelay unless the response arrives.
     void cancel(AttemptKey key);
 
     /// Closes the idle connections to one upstream, for example after it was removed.
@@ -133,6 +156,7 @@
 
     transport::Runtime &runtime_;
     const HeaderNames names_;
+    const ServerProtocol protocol_;
     UpstreamNoticeParser noticeParser_;
     ResponseFaultReporter faults_;
     transport::Counter &openedConnections_;
--- a/forward/frontend_server.cpp
+++ b/forward/frontend_server.cpp
@@ -62,10 +62,11 @@
 } // namespace
 
 FrontendServer::FrontendServer(transport::Runtime &runtime, HeaderNames names,
-                               CallerRequestHandler handler)
+                               CallerRequestHandler handler, RequestSource source)
     : runtime_(runtime),
       names_(std::move(names)),
       handler_(std::move(handler)),
+      source_(source),
       acceptor_(runtime.makeStrand())
 {
 }
@@ -189,7 +190,8 @@
     if (const auto status = transport::framingErrorStatus(message))
         co_return co_await reject(session, *status);
     const auto now = runtime_.clock().now();
-    auto request = std::make_shared<const ForwardRequest>(makeForwardRequest(message, names_, now));
+    auto request = std::make_shared<const ForwardRequest>(
+            makeForwardRequest(message, names_, now, source_));
     const auto monitor = std::make_shared<CallerMonitor>();
     enterPhase(*session, SessionPhase::Serving);
     ++activeRequests_;
--- a/forward/frontend_server.h
+++ b/forward/frontend_server.h
@@ -17,12 +17,13 @@
 using CallerRequestHandler = std::function<boost::asio::awaitable<CallerResponse>(
         std::shared_ptr<const ForwardRequest>, std::shared_ptr<CallerMonitor>)>;
 
-/// HTTP/1.1 server for callers. Requires a single-threaded runtime and must outlive the runtime's
-/// handlers.
+/// HTTP/1.1 server for callers, or for other hosts that pass on their requests. Requires a
+/// single-threaded runtime and must outlive the runtime's handlers.
 class FrontendServer
 {
 public:
-    FrontendServer(transport::Runtime &runtime, HeaderNames names, CallerRequestHandler handler);
+    FrontendServer(transport::Runtime &runtime, HeaderNames names, CallerRequestHandler handler,
+                   RequestSource source = RequestSource::Caller);
 
     transport::TransportResult<transport::Endpoint> listen(const transport::Endpoint &endpoint);
 
@@ -81,6 +82,7 @@
     transport::Runtime &runtime_;
     const HeaderNames names_;
     const CallerRequestHandler handler_;
+    const RequestSource source_;
     state::CallerLimits limits_;
     boost::asio::ip::tcp::acceptor acceptor_;
     std::set<SessionPtr> sessions_;
--- /dev/null
+++ b/forward/peer_relay.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "forward/forwarding_client.h"
+#include "state/relay_peers.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace persimmon::forward {
+
+/// How a request may be passed on.
+struct RelayTerms
+{
+    /// Time by which the caller must have the response.
+    transport::TimePoint deadline{};
+    bool idempotent = true;
+    /// Version of the configuration of this host. Hosts with an older one refuse the request.
+    std::uint64_t configVersion = 0;
+    /// Regions that may receive the request; empty for all.
+    std::vector<std::string> regions;
+};
+
+/// A request that is being passed on.
+struct RelayCall
+{
+    AttemptKey key;
+    bool cancelled = false;
+};
+
+/// Result of passing on a request.
+struct RelayResult
+{
+    /// Response of the host that took the request; std::nullopt if none did.
+    std::optional<CallerResponse> response;
+    /// Control address of the last host that was asked; empty if there was none.
+    std::string peer;
+    /// Whether a host that gave no response may have executed the request.
+    bool mayHaveExecuted = false;
+};
+
+/// Passes requests on to other hosts while this host cannot reach the upstreams. A request that was
+/// passed on is never passed on again. Requires a single-threaded runtime.
+class PeerRelay
+{
+public:
+    /// Hosts that one request is offered to.
+    static constexpr int MaxPeers = 3;
+
+    /// @param members returns the live hosts, this one first.
+    PeerRelay(transport::Runtime &runtime, transport::Metrics &metrics, const HeaderNames &names,
+              std::function<std::vector<state::MemberState>()> members);
+
+    /// @return whether a host can take requests for these regions; empty for all.
+    bool hasPeer(const std::vector<std::string> &regions) const
+    {
+        return state::RelayPeers::hasPeer(members_(), regions);
+    }
+
+    /// Passes a request on to one host, and to others if it was certainly not executed there or may
+    /// be executed again.
+    boost::asio::awaitable<RelayResult> pass(std::shared_ptr<RelayCall> call,
+                                             std::shared_ptr<const ForwardRequest> request,
+                                             RelayTerms terms);
+
+    /// Gives up a call, for example because its caller has left.
+    void cancel(RelayCall &call);
+
+private:
+    /// @return the response if the host has given one.
+    std::optional<CallerResponse> takeResponse(const ForwardRequest &request,
+                                               const std::string &peer,
+                                               const state::AttemptResult &result);
+
+    transport::Runtime &runtime_;
+    transport::Metrics &metrics_;
+    const std::function<std::vector<state::MemberState>()> members_;
+    ForwardingClient client_;
+    state::RelayPeers peers_;
+    std::uint64_t callCount_ = 0;
+};
+
+/// Adds what the passing host needs to the response to a request that was passed on.
+/// @param refusal why this host cannot serve the request although another one may; empty otherwise.
+void completePeerResponse(CallerResponse &response, const HeaderNames &names,
+                          const std::string &requestId, const std::string &refusal);
+
+} // namespace persimmon::forward
--- a/forward/request_forwarder.cpp
+++ b/forward/request_forwarder.cpp
@@ -74,13 +74,14 @@
 RequestForwarder::RequestForwarder(transport::Runtime &runtime, transport::Metrics &metrics,
                                    ForwardingClient &client, ServiceExecutors &services,
                                    CrashGate &crashGate, UpstreamPathMonitor &path,
-                                   ForwarderOptions options)
+                                   PeerRelay &relay, ForwarderOptions options)
     : runtime_(runtime),
       metrics_(metrics),
       client_(client),
       services_(services),
       crashGate_(crashGate),
       path_(path),
+      relay_(relay),
       options_(std::move(options))
 {
 }
@@ -94,13 +95,19 @@
     reply = withTrueStatus(context, std::move(reply));
     recordResult(context, reply);
     crashGate_.onFinished(*context.request, *context.trace);
+    if (context.request->passedOn)
+        completePeerResponse(reply.response, options_.names, context.request->id,
+                             reply.hostRefusal);
     co_return std::move(reply.response);
 }
 
 asio::awaitable<RequestForwarder::Reply> RequestForwarder::serveRoute(RequestContext &context)
 {
     if (!context.routes)
-        co_return refuse("no_configuration", DefaultRetryAfter);
+        co_return refuseOnThisHost("no_configuration", DefaultRetryAfter);
+    const auto &passedOn = context.request->passedOn;
+    if (passedOn && context.routes->config().version < passedOn->configVersion)
+        co_return refuseOnThisHost("older_configuration", DefaultRetryAfter);
     context.route = context.routes->find(context.request->host, context.request->target);
     if (context.route == nullptr)
         co_return fail(NotFoundStatus, "no_route");
@@ -109,21 +116,82 @@
         time = std::min<transport::Duration>(time, *context.request->callerTimeout);
     context.deadline = context.request->receivedAt + time;
     if (!fitsBeforeStop(context))
-        co_return refuse("shutting_down", MinRetryAfter);
+        co_return refuseOnThisHost("shutting_down", MinRetryAfter);
     context.deadline = std::min(context.deadline, stopAt_);
     const auto quarantine = crashGate_.quarantineTimeLeft(*context.request);
     if (quarantine)
         co_return refuse("quarantined", *quarantine);
     active_.insert(context.trace);
-    Reply reply;
-    if (context.route->isGather())
-        reply = co_await serveGather(context);
-    else
-        reply = co_await serveSingle(context);
+    auto reply = co_await serveActive(context);
     active_.erase(context.trace);
     co_return reply;
 }
 
+asio::awaitable<RequestForwarder::Reply>
+RequestForwarder::serveActive(const RequestContext &context)
+{
+    std::optional<Reply> reply;
+    const bool passesOn = !path_.shouldServe() && hasPeerFor(context);
+    if (!passesOn && path_.isLost())
+        co_return refuseOnThisHost("no_path", state::UpstreamReachability::TrialInterval);
+    if (!passesOn && context.route->isGather())
+        reply = co_await serveGather(context);
+    else if (!passesOn)
+        reply = co_await serveSingle(context);
+    if (!reply)
+        reply = co_await serveByPeer(context);
+    if (!reply)
+        reply = refuseOnThisHost("no_path", state::UpstreamReachability::TrialInterval);
+    co_return std::move(*reply);
+}
+
+bool RequestForwarder::hasPeerFor(const RequestContext &context) const
+{
+    return !context.request->passedOn && relay_.hasPeer(context.route->homeRegions);
+}
+
+bool RequestForwarder::mustPassOn(const RequestContext &context) const
+{
+    return path_.isLost() && context.route->idempotent && hasPeerFor(context);
+}
+
+void RequestForwarder::onPathLost()
+{
+    for (const auto &trace : active_)
+        trace->wake();
+}
+
+asio::awaitable<std::optional<RequestForwarder::Reply>>
+RequestForwarder::serveByPeer(const RequestContext &context)
+{
+    const auto call = std::make_shared<RelayCall>();
+    context.trace->wake = [this, call, monitor = context.monitor] {
+        const bool ends = monitor->disconnected || runtime_.clock().now() >= stopAt_;
+        if (ends)
+            relay_.cancel(*call);
+    };
+    context.monitor->onDisconnect = context.trace->wake;
+    RelayTerms terms;
+    terms.deadline = context.deadline;
+    terms.idempotent = context.route->idempotent;
+    terms.configVersion = context.routes->config().version;
+    terms.regions = context.route->homeRegions;
+    const auto relayed = co_await relay_.pass(call, context.request, std::move(terms));
+    context.monitor->onDisconnect = [] {};
+    context.trace->wake = [] {};
+    context.trace->mayHaveExecuted = context.trace->mayHaveExecuted || relayed.mayHaveExecuted;
+    if (relayed.response)
+        co_return Reply{*relayed.response, "passed_to_host", {{"host", relayed.peer}}};
+    if (call->cancelled)
+        co_return fail(GatewayTimeoutStatus,
+                       context.monitor->disconnected ? "caller_gone" : "shutting_down");
+    if (runtime_.clock().now() >= context.deadline)
+        co_return fail(GatewayTimeoutStatus, "deadline");
+    if (relayed.mayHaveExecuted)
+        co_return fail(BadGatewayStatus, "host_lost");
+    co_return std::nullopt;
+}
+
 RequestForwarder::Reply RequestForwarder::withTrueStatus(const RequestContext &context,
                                                          Reply reply) const
 {
@@ -238,7 +306,7 @@
     co_return result;
 }
 
-asio::awaitable<RequestForwarder::Reply>
+asio::awaitable<std::optional<RequestForwarder::Reply>>
 RequestForwarder::serveSingle(const RequestContext &context)
 {
     struct PendingReply
@@ -262,11 +330,13 @@
     executor.submit(std::move(job));
     const auto isStopped = [this] { return runtime_.clock().now() >= stopAt_; };
     while (!pendingReply->reply && !context.monitor->disconnected && !isStopped()
-           && runtime_.clock().now() < context.deadline)
+           && !mustPassOn(context) && runtime_.clock().now() < context.deadline)
         co_await pendingReply->event.waitUntil(context.deadline);
     context.monitor->onDisconnect = [] {};
     if (!pendingReply->reply) {
         executor.cancel(id);
+        if (mustPassOn(context) && !context.monitor->disconnected && !isStopped())
+            co_return std::nullopt;
         const auto *reason = isStopped() ? "shutting_down" : "deadline";
         co_return fail(GatewayTimeoutStatus,
                        context.monitor->disconnected ? "caller_gone" : reason);
@@ -313,7 +383,7 @@
     return *last;
 }
 
-asio::awaitable<RequestForwarder::Reply>
+asio::awaitable<std::optional<RequestForwarder::Reply>>
 RequestForwarder::serveGather(const RequestContext &context)
 {
     struct PendingGather
@@ -357,8 +427,8 @@
         };
         executor.submit(std::move(job));
     }
-    while (gather->run.outcome() == state::GatherOutcome::Waiting
-           && !context.monitor->disconnected) {
+    while (gather->run.outcome() == state::GatherOutcome::Waiting && !context.monitor->disconnected
+           && !mustPassOn(context)) {
         co_await gather->event.waitUntil(gather->run.nextTimeout());
         gather->run.endBy(stopAt_);
         gather->run.onTimer(runtime_.clock().now());
@@ -370,6 +440,8 @@
     }
     if (context.monitor->disconnected)
         co_return fail(GatewayTimeoutStatus, "caller_gone");
+    if (gather->run.outcome() == state::GatherOutcome::Waiting)
+        co_return std::nullopt;
     co_return makeGatherReply(context, gather->run);
 }
 
@@ -418,6 +490,14 @@
     return {std::move(response), "refused", {{"reason", reason}, {"retry_after", retryAfter}}};
 }
 
+RequestForwarder::Reply RequestForwarder::refuseOnThisHost(const std::string &reason,
+                                                           transport::Duration wait) const
+{
+    auto reply = refuse(reason, wait);
+    reply.hostRefusal = reason;
+    return reply;
+}
+
 RequestForwarder::Reply RequestForwarder::fail(int status, const std::string &reason) const
 {
     CallerResponse response;
@@ -444,6 +524,7 @@
             {"home_regions", homes},
             {"upstream_regions", joinNames(context.trace->regions)},
             {"attempts", std::to_string(context.trace->attempts)},
+            {"passed_on", context.request->passedOn ? "yes" : "no"},
             {"outcome", reply.outcome},
             {"status", std::to_string(reply.response.status)},
             {"ms", formatMilliseconds(time)}};
--- a/forward/request_forwarder.h
+++ b/forward/request_forwarder.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "forward/crash_gate.h"
+#include "forward/peer_relay.h"
 #include "forward/service_executors.h"
 #include "forward/upstream_path_monitor.h"
 
@@ -33,7 +34,10 @@
 public:
     RequestForwarder(transport::Runtime &runtime, transport::Metrics &metrics,
                      ForwardingClient &client, ServiceExecutors &services, CrashGate &crashGate,
-                     UpstreamPathMonitor &path, ForwarderOptions options);
+                     UpstreamPathMonitor &path, PeerRelay &relay, ForwarderOptions options);
+
+    /// Wakes the requests that wait for upstreams after the path to these was lost.
+    void onPathLost();
 
     /// Applies a new version of the configuration to subsequent requests. Active requests keep the
     /// version that they started with.
@@ -76,6 +80,8 @@
         CallerResponse response;
         std::string outcome;
         std::vector<transport::LogField> fields;
+        /// Why this host cannot serve the request although another one may; empty otherwise.
+        std::string hostRefusal = {};
     };
     /// The sub-request of one shard and the executor that it was submitted to.
     struct ShardSubRequest
@@ -87,8 +93,20 @@
 
     /// Finds the route of a request and forwards it.
     boost::asio::awaitable<Reply> serveRoute(RequestContext &context);
-    boost::asio::awaitable<Reply> serveSingle(const RequestContext &context);
-    boost::asio::awaitable<Reply> serveGather(const RequestContext &context);
+    /// Forwards a request to upstreams, or passes it on to another host.
+    boost::asio::awaitable<Reply> serveActive(const RequestContext &context);
+    /// @return std::nullopt if the path to the upstreams was lost and another host can serve the
+    ///         request.
+    boost::asio::awaitable<std::optional<Reply>> serveSingle(const RequestContext &context);
+    boost::asio::awaitable<std::optional<Reply>> serveGather(const RequestContext &context);
+    /// Passes a request on to another host.
+    /// @return std::nullopt if there is none.
+    boost::asio::awaitable<std::optional<Reply>> serveByPeer(const RequestContext &context);
+    /// @return whether another host can serve the request.
+    bool hasPeerFor(const RequestContext &context) const;
+    /// @return whether a request that waits for upstreams should be passed on, since this host has
+    ///         lost its path to them.
+    bool mustPassOn(const RequestContext &context) const;
     /// @return whether a new request may be completed before the time of finishBy().
     bool fitsBeforeStop(const RequestContext &context) const;
     boost::asio::awaitable<void> wakeAllAt(transport::TimePoint time);
@@ -98,6 +116,8 @@
                state::StartAttempt action, transport::TimePoint deadline, bool idempotent,
                std::shared_ptr<UsedConnections> used);
     Reply refuse(const std::string &reason, transport::Duration wait) const;
+    /// Refuses a request that another host may serve.
+    Reply refuseOnThisHost(const std::string &reason, transport::Duration wait) const;
     Reply fail(int status, const std::string &reason) const;
     Reply makeSingleReply(const RequestContext &context, const std::string &service,
                           const state::SubReply &result) const;
@@ -116,6 +136,7 @@
     ServiceExecutors &services_;
     CrashGate &crashGate_;
     UpstreamPathMonitor &path_;
+    PeerRelay &relay_;
     ForwarderOptions options_;
     std::shared_ptr<const state::RouteTable> routes_;
     std::map<std::string, state::WeightedSplit> splits_;
--- a/forward/upstream_path_monitor.cpp
+++ b/forward/upstream_path_monitor.cpp
@@ -60,6 +60,12 @@
     reachability_.onAttemptEnded(upstream, result);
 }
 
+bool UpstreamPathMonitor::shouldServe()
+{
+    const auto fraction = reachability_.ownFraction(runtime_.clock().now());
+    return fraction >= 1 || std::uniform_real_distribution<double>(0, 1)(random_) < fraction;
+}
+
 asio::awaitable<void> UpstreamPathMonitor::run()
 {
     while (true) {
--- a/forward/upstream_path_monitor.h
+++ b/forward/upstream_path_monitor.h
@@ -43,6 +43,10 @@
     /// @return whether no upstream can be reached from this host.
     bool isLost() const { return reachability_.isLost(); }
 
+    /// @return whether this host should serve the next request itself, if another host could. After
+    ///         the return of the path it takes back its requests little by little.
+    bool shouldServe();
+
 private:
     /// A round of trial connections.
     struct Trial
@@ -66,6 +70,7 @@
     transport::Counter &acceptedTrials_;
     transport::Counter &failedTrials_;
     state::UpstreamReachability reachability_;
+    std::mt19937_64 random_{std::random_device{}()};
 };
 
 } // namespace persimmon::forward
--- a/host/host_daemon.cpp
+++ b/host/host_daemon.cpp
@@ -11,6 +11,7 @@
 
 constexpr const char *Part = "host";
 constexpr std::chrono::milliseconds TickInterval{250};
+constexpr std::chrono::milliseconds StopPollInterval{20};
 constexpr std::size_t MaxDirectoryEntries = 64;
 /// Fraction of the grace period for which idle connections of callers stay open during shutdown.
 constexpr double IdleGraceFraction = 0.6;
@@ -55,6 +56,14 @@
     return member;
 }
 
+/// @return the limits for requests with the fields that hosts add for each other.
+state::CallerLimits withPeerFields(state::CallerLimits limits)
+{
+    constexpr std::uint32_t PeerFieldBytes = 256;
+    limits.headerBytes += PeerFieldBytes;
+    return limits;
+}
+
 } // namespace
 
 HostDaemon::HostDaemon(transport::Runtime &runtime, transport::Metrics &metrics,
@@ -71,7 +80,8 @@
       services_(context_, registry_, options_.limits),
       crashGate_(runtime, crashes_, makeCrashGateHooks()),
       path_(runtime, metrics_, forwardingClient_, makeUpstreamPathHooks()),
-      forwarder_(runtime, metrics_, forwardingClient_, services_, crashGate_, path_,
+      relay_(runtime, metrics_, hooks_.headerNames, [this] { return membership_.liveMembers(); }),
+      forwarder_(runtime, metrics_, forwardingClient_, services_, crashGate_, path_, relay_,
                  makeForwarderOptions()),
       follower_(runtime, hooks_.store,
                 {[this] {
@@ -103,6 +113,12 @@
                       [this](auto request, auto monitor) {
                           return forwarder_.serve(std::move(request), std::move(monitor));
                       }),
+      relayServer_(
+              runtime, hooks_.headerNames,
+              [this](auto request, auto monitor) {
+                  return forwarder_.serve(std::move(request), std::move(monitor));
+              },
+              forward::RequestSource::Peer),
       directoryServer_(
               runtime,
               [this](transport::HttpRequest request) { return handleLocate(std::move(request)); }),
@@ -137,6 +153,7 @@
     hooks.sampleUpstreams = [this](std::size_t count) {
         return registry_.sampleUpstreams(count, random_);
     };
+    hooks.onChange = [this] { onUpstreamPathChanged(); };
     return hooks;
 }
 
@@ -169,6 +186,7 @@
         if (!isOk(result))
             return errorOf(result);
     }
+    listenForPeers();
     bootClockOffset_ = bootClockOffset(runtime_.clock().now());
     follower_.start();
     exchange_.start();
@@ -182,6 +200,20 @@
     return Ok{};
 }
 
+void HostDaemon::listenForPeers()
+{
+    for (const auto &address : options_.relayAddresses) {
+        const auto endpoint = transport::parseEndpoint(address);
+        const auto bound = isOk(endpoint) ? relayServer_.listen(valueOf(endpoint)) : endpoint;
+        if (isOk(bound)) {
+            membership_.setRelay(transport::formatEndpoint(valueOf(bound)));
+            return;
+        }
+        transport::logWarning(Part, "cannot listen for requests of other hosts",
+                              {{"address", address}, {"reason", errorOf(bound).message}});
+    }
+}
+
 void HostDaemon::reload(const HostOptions &options)
 {
     options_.seeds = options.seeds;
@@ -220,6 +252,7 @@
     const auto routes = std::make_shared<const state::RouteTable>(config);
     services_.setServices(config.services);
     frontendServer_.setLimits(config.limits);
+    relayServer_.setLimits(withPeerFields(config.limits));
     forwarder_.setRoutes(routes);
     transport::logInfo(Part, "configuration applied",
                        {{"version", std::to_string(config.version)},
@@ -340,6 +373,15 @@
         exchange_.announce();
 }
 
+void HostDaemon::onUpstreamPathChanged()
+{
+    if (membership_.setUpstreamsUnreachable(path_.isLost()))
+        exchange_.announce();
+    updateHostShare();
+    if (path_.isLost())
+        forwarder_.onPathLost();
+}
+
 void HostDaemon::updatePhase()
 {
     const bool canServe = forwarder_.routes() != nullptr && follower_.isLoaded();
@@ -476,7 +518,12 @@
         return std::chrono::duration_cast<transport::Duration>(gracePeriod * fraction);
     };
     forwarder_.finishBy(runtime_.clock().now() + partOfGrace(FinishGraceFraction));
+    runtime_.spawn(
+            relayServer_.drain(partOfGrace(IdleGraceFraction), partOfGrace(MaxGraceFraction)));
+    const auto end = runtime_.clock().now() + partOfGrace(MaxGraceFraction);
     co_await frontendServer_.drain(partOfGrace(IdleGraceFraction), partOfGrace(MaxGraceFraction));
+    while (relayServer_.activeRequestCount() > 0 && runtime_.clock().now() < end)
+        co_await runtime_.clock().sleep(StopPollInterval);
     transport::logInfo(Part, "stopped",
                        {{"active", std::to_string(frontendServer_.activeRequestCount())}});
     runtime_.requestStop();
--- a/host/host_daemon.h
+++ b/host/host_daemon.h
@@ -52,6 +52,9 @@
     void announceQuarantine();
     void updateHostShare();
     void updateStoreReachability();
+    void onUpstreamPathChanged();
+    /// Opens the listener for requests that other hosts pass on. Without one, none are accepted.
+    void listenForPeers();
     void updatePhase();
     void updateMembershipLoad();
     boost::asio::awaitable<void> tick();
@@ -76,10 +79,12 @@
     forward::CrashGate crashGate_;
     std::mt19937_64 random_{std::random_device{}()};
     forward::UpstreamPathMonitor path_;
+    forward::PeerRelay relay_;
     forward::RequestForwarder forwarder_;
     coordination::RecordFollower follower_;
     coordination::PeerExchange exchange_;
     forward::FrontendServer frontendServer_;
+    forward::FrontendServer relayServer_;
     transport::HttpServer directoryServer_;
     transport::HttpServer readinessServer_;
     transport::HttpServer metricsServer_;
--- a/host/host_options.h
+++ b/host/host_options.h
@@ -24,6 +24,9 @@
     std::string readinessAddress;
     /// Listening address for other hosts, as IP:port.
     std::string controlAddress;
+    /// Possible listening addresses for requests that other hosts pass on, as IP:port; the first
+    /// free one is used.
+    std::vector<std::string> relayAddresses;
     /// Listening address for metrics, as IP:port; empty to disable.
     std::string metricsAddress;
     /// Control addresses of hosts to contact first.
--- a/state/entry_membership.cpp
+++ b/state/entry_membership.cpp
@@ -54,6 +54,15 @@
     return true;
 }
 
+bool EntryMembership::setUpstreamsUnreachable(bool unreachable)
+{
+    if (self_.upstreamsUnreachable == unreachable)
+        return false;
+    self_.upstreamsUnreachable = unreachable;
+    advanceHeartbeat();
+    return true;
+}
+
 bool EntryMembership::merge(const std::vector<MemberState> &members, TimePoint now)
 {
     bool changed = false;
@@ -83,7 +92,8 @@
     const bool changed = !peer.live || peer.state.phase != member.phase
                          || peer.state.incarnation != member.incarnation
                          || peer.state.front != member.front
-                         || peer.state.storeUnreachable != member.storeUnreachable;
+                         || peer.state.storeUnreachable != member.storeUnreachable
+                         || peer.state.upstreamsUnreachable != member.upstreamsUnreachable;
     const bool restarted = peer.state.incarnation != member.incarnation;
     const auto relayedHeartbeat = restarted ? 0 : peer.ownHeartbeat;
     const auto ownHeartbeat = isSender ? member.heartbeat : relayedHeartbeat;
@@ -115,7 +125,8 @@
     for (const auto &member : liveMembers()) {
         texts[member.control] = member.front + "|" + std::to_string(member.incarnation) + "|"
                                 + std::to_string(static_cast<int>(member.phase))
-                                + (member.storeUnreachable ? "|lost" : "|");
+                                + (member.storeUnreachable ? "|lost" : "|")
+                                + (member.upstreamsUnreachable ? "|cut" : "");
     }
     std::string all;
     for (const auto &[control, text] : texts)
--- a/state/entry_membership.h
+++ b/state/entry_membership.h
@@ -40,6 +40,10 @@
     std::uint32_t capacity = 1;
     /// Sub-requests per second that the host executes now.
     std::uint32_t load = 0;
+    /// Address for requests that other hosts pass on; empty if the host accepts none.
+    std::string relay = {};
+    /// Whether the host has lost its path to all upstreams.
+    bool upstreamsUnreachable = false;
 
     bool operator==(const MemberState &) const = default;
 };
@@ -85,12 +89,15 @@
 
     /// @return whether the state changed.
     bool setStoreUnreachable(bool unreachable);
+
+    /// @return whether the state changed.
+    bool setUpstreamsUnreachable(bool unreachable);
+    void setRelay(std::string address) { self_.relay = std::move(address); }
     void setLoad(std::uint32_t load) { self_.load = load; }
 
     /// Merges the member states that a peer has sent, the peer's own first.
-    /// @return whether a host appeared, changed its phase or address, lost or regained the store,
-    /// or
-    ///         restarted.
+    /// @return whether a host appeared, changed its phase or address, lost or regained the store or
+    ///         the upstreams, or restarted.
     bool merge(const std::vector<MemberState> &members, TimePoint now);
 
     /// Merges heartbeats from a peer that holds the same member states.
--- a/state/state.h
+++ b/state/state.h
@@ -26,6 +26,7 @@
 #include "state/query_planner.h"
 #include "state/recent_latency.h"
 #include "state/record_mirror.h"
+#include "state/relay_peers.h"
 #include "state/replica_set.h"
 #include "state/request_id.h"
 #include "state/route_table.h"
--- a/tests/coordination/test_peer_message.cpp
+++ b/tests/coordination/test_peer_message.cpp
@@ -24,6 +24,8 @@
     member.phase = state::EntryPhase::Leaving;
     member.storeUnreachable = true;
     member.capacity = 1250;
+    member.relay = "127.0.0.1:3";
+    member.upstreamsUnreachable = true;
     member.load = 17;
     message.members = {member, member};
     message.heartbeats = {{0xffffffffU, 7, 3}};
--- a/tests/forward/forwarder_fixture.h
+++ b/tests/forward/forwarder_fixture.h
@@ -114,8 +114,11 @@
     state::CrashEvidence crashes;
     forward::CrashGate crashGate{runtime, crashes, {}};
     forward::UpstreamPathMonitor path{runtime, metrics, client, {}};
+    forward::PeerRelay relay{runtime, metrics, makeNames(),
+                             [] { return std::vector<state::MemberState>(1); }};
     forward::RequestForwarder forwarder{
-            runtime, metrics, client, services, crashGate, path, {makeNames(), 0.2, ReturnLatency}};
+            runtime,   metrics, client, services,
+            crashGate, path,    relay,  {makeNames(), 0.2, ReturnLatency}};
     forward::FrontendServer server{runtime, makeNames(), [this](auto request, auto monitor) {
                                        return forwarder.serve(std::move(request),
                                                               std::move(monitor));
--- a/tests/host/host_group.cpp
+++ b/tests/host/host_group.cpp
@@ -3,6 +3,7 @@
 #include "tests/support/free_port.h"
 
 #include <atomic>
+#include <sstream>
 #include <thread>
 
 namespace asio = boost::asio;
@@ -125,6 +126,7 @@
     options.readinessAddress = loopbackAddress(allocatePort());
     options.metricsAddress = loopbackAddress(allocatePort());
     options.controlAddress = controlAddresses_.at(static_cast<std::size_t>(number - 1));
+    options.relayAddresses = {loopbackAddress(0)};
     options.seeds = controlAddresses_;
     options.gracePeriod = milliseconds(3000);
     options.limits = {50, 1, 0};
@@ -260,6 +262,26 @@
     return bodyOf(httpGet(hosts_.at(host)->options.metricsAddress, "/metrics"));
 }
 
+int HostGroup::passedOnCount(int host) const
+{
+    constexpr std::string_view Name = "persimmon_passed_on_total{";
+    std::istringstream lines(metrics(host));
+    int count = 0;
+    for (std::string line; std::getline(lines, line);) {
+        if (line.starts_with(Name))
+            count += std::stoi(line.substr(line.rfind(' ') + 1));
+    }
+    return count;
+}
+
+int HostGroup::abandonedCount() const
+{
+    int count = 0;
+    for (const auto &[id, upstream] : upstreams_)
+        count += upstream->abandonedCount();
+    return count;
+}
+
 std::map<std::pair<std::string, std::string>, int> HostGroup::executions() const
 {
     const std::lock_guard lock(mutex_);
--- a/tests/host/host_group.h
+++ b/tests/host/host_group.h
@@ -56,6 +56,12 @@
     /// @return the metrics of a host in text format.
     std::string metrics(int host) const;
 
+    /// @return number of requests that a host has offered to other hosts.
+    int passedOnCount(int host) const;
+
+    /// @return the number of requests whose connection was closed while an upstream handled them.
+    int abandonedCount() const;
+
     /// @return number of executions by request id and upstream.
     std::map<std::pair<std::string, std::string>, int> executions() const;
 
--- a/tests/host/test_unreachable_upstreams.cpp
+++ b/tests/host/test_unreachable_upstreams.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <memory>
+#include <optional>
 #include <thread>
 
 using namespace persimmon;
@@ -51,6 +53,13 @@
     std::thread thread_;
 };
 
+/// Requires that the host reports the loss of its path, or its return.
+void waitUntilPathLost(HostGroup &group, int host, bool lost)
+{
+    const std::string line = "persimmon_upstream_path_lost " + std::string(lost ? "1" : "0");
+    REQUIRE(group.waitUntil([&] { return group.metrics(host).find(line) != std::string::npos; }));
+}
+
 void waitUntilServing(HostGroup &group)
 {
     for (int host = 1; host <= HostCount; ++host) {
@@ -93,3 +102,112 @@
     CHECK(served > 50);
     CHECK(failed == 0);
 }
+
+// Guards against a second execution of a request that was passed on.
+TEST_CASE("a request that may not be repeated is passed on and executed once")
+{
+    HostGroup group(HostCount);
+    waitUntilServing(group);
+    const LoopingCaller caller(group, CutHost);
+    group.setPath(CutHost, ProxyMode::PartitionRefusing);
+    waitUntilPathLost(group, CutHost, true);
+    for (int i = 0; i < 50; ++i)
+        CHECK(statusOf(group.call(CutHost, "/pay/1", "POST")) == 200);
+    for (const auto &[key, count] : group.executions())
+        CHECK(count == 1);
+}
+
+// Guards against hosts that send all requests to each other when none reaches an upstream.
+TEST_CASE("requests are refused at once while no host reaches an upstream")
+{
+    HostGroup group(HostCount);
+    waitUntilServing(group);
+    std::vector<std::unique_ptr<LoopingCaller>> callers;
+    for (int host = 1; host <= HostCount; ++host) {
+        callers.push_back(std::make_unique<LoopingCaller>(group, host));
+        group.setPath(host, ProxyMode::PartitionRefusing);
+    }
+    for (int host = 1; host <= HostCount; ++host)
+        waitUntilPathLost(group, host, true);
+    // Time until all hosts have heard of each other's loss.
+    std::this_thread::sleep_for(seconds(2));
+    for (const std::string target : {"/one/1", "/g/1"}) {
+        const auto begin = std::chrono::steady_clock::now();
+        const auto response = group.call(CutHost, target);
+        CHECK(std::chrono::steady_clock::now() - begin < milliseconds(100));
+        CHECK(statusOf(response) == 503);
+        CHECK_FALSE(fieldOf(response, "Retry-After").empty());
+        CHECK(fieldOf(response, "Persimmon-Refusal").empty());
+    }
+}
+
+// Guards against hosts that go on passing requests on after their path has returned.
+TEST_CASE("a host serves its callers itself after its path to the upstreams has returned")
+{
+    HostGroup group(HostCount);
+    waitUntilServing(group);
+    const LoopingCaller caller(group, CutHost);
+    group.setPath(CutHost, ProxyMode::Partition);
+    waitUntilPathLost(group, CutHost, true);
+    group.setPath(CutHost, ProxyMode::Pass);
+    waitUntilPathLost(group, CutHost, false);
+    std::this_thread::sleep_for(state::UpstreamReachability::RecoveryTime);
+    const auto passedOn = group.passedOnCount(CutHost);
+    const int failed = caller.failed();
+    std::this_thread::sleep_for(seconds(1));
+    CHECK(group.passedOnCount(CutHost) == passedOn);
+    CHECK(caller.failed() == failed);
+}
+
+// Guards against upstreams that work on a request whose caller has left the host that passed it on.
+TEST_CASE("a caller that leaves cancels its request on the host that executes it")
+{
+    constexpr milliseconds SlowResponse{1500};
+    constexpr milliseconds CancelTime{500};
+    HostGroup group(HostCount, [&](const std::string &id, const std::string &request) {
+        RawResponse response{
+                makeResponse("body", id, "X-Id: " + fieldOf(request, "X-Id") + "\r\n")};
+        if (request.find("/one/slow") != std::string::npos)
+            response.delay = SlowResponse;
+        return response;
+    });
+    waitUntilServing(group);
+    std::optional<LoopingCaller> caller(std::in_place, group, CutHost);
+    group.setPath(CutHost, ProxyMode::PartitionRefusing);
+    waitUntilPathLost(group, CutHost, true);
+    caller.reset();
+    RawCaller leaving(group.frontPort(CutHost));
+    leaving.send(HostGroup::makeRequest("/one/slow"));
+    const auto executing = group.executions().size();
+    REQUIRE(group.waitUntil([&] { return group.executions().size() > executing; }));
+    const auto abandoned = group.abandonedCount();
+    leaving.close();
+    CHECK(group.waitUntil([&] { return group.abandonedCount() > abandoned; }, CancelTime));
+}
+
+// Guards against requests that are lost with the planned stop of the host that executes them.
+TEST_CASE("a host that stops completes the requests that others have passed on")
+{
+    constexpr int StoppedHost = 2;
+    HostGroup group(2, [&](const std::string &id, const std::string &request) {
+        RawResponse response{
+                makeResponse("body", id, "X-Id: " + fieldOf(request, "X-Id") + "\r\n")};
+        response.delay = milliseconds(request.find("/slow") == std::string::npos ? 3 : 1000);
+        return response;
+    });
+    REQUIRE(group.waitUntil([&] {
+        return group.metrics(CutHost).find("persimmon_live_hosts 2") != std::string::npos
+               && statusOf(group.call(StoppedHost, "/one/1")) == 200
+               && statusOf(group.call(CutHost, "/one/1")) == 200;
+    }));
+    std::optional<LoopingCaller> caller(std::in_place, group, CutHost);
+    group.setPath(CutHost, ProxyMode::PartitionRefusing);
+    waitUntilPathLost(group, CutHost, true);
+    caller.reset();
+    RawCaller waiting(group.frontPort(CutHost));
+    const auto executing = group.executions().size();
+    waiting.send(HostGroup::makeRequest("/pay/slow", "POST"));
+    REQUIRE(group.waitUntil([&] { return group.executions().size() > executing; }));
+    group.stopHost(StoppedHost);
+    CHECK(statusOf(waiting.receive()) == 200);
+}
--- a/tests/platform/test_settings_file.cpp
+++ b/tests/platform/test_settings_file.cpp
@@ -114,3 +114,17 @@
         }
     }
 }
+
+// Guards against hosts that listen for each other on ports that are not free for it.
+TEST_CASE("requests between hosts use the ports of the settings file")
+{
+    const auto any = parseSettings(Valid);
+    REQUIRE(isOk(any));
+    CHECK(valueOf(any).host.relayAddresses == std::vector<std::string>{"127.0.0.1:0"});
+    const auto named = parseSettings(Valid + "\nport_range: [7380, 7381]\n");
+    REQUIRE(isOk(named));
+    CHECK(valueOf(named).host.relayAddresses
+          == std::vector<std::string>{"127.0.0.1:7380", "127.0.0.1:7381"});
+    for (const std::string invalid : {"[1]", "[2, 1]", "[1, 70000]", "[-1, 2]", "word"})
+        CHECK_FALSE(isOk(parseSettings(Valid + "\nport_range: " + invalid + "\n")));
+}
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "tests/soak/fault_plan.h"
-#include "tests/support/fault_proxy.h"
 #include "tests/soak/invariant_checker.h"
 #include "tests/soak/store_writers.h"
+#include "tests/support/fault_proxy.h"
 #include "tests/system/platform_cluster.h"
 
 #include <map>
--- a/tests/support/fault_proxy.cpp
+++ b/tests/support/fault_proxy.cpp
@@ -57,7 +57,8 @@
 };
 
 FaultProxy::FaultProxy(const std::string &target)
-    : acceptor_(context_, loopbackEndpoint(0)),
+    : workGuard_(context_.get_executor()),
+      acceptor_(context_, loopbackEndpoint(0)),
       endpoint_(acceptor_.local_endpoint()),
       targetPort_(parsePort(target))
 {
--- a/tests/support/fault_proxy.h
+++ b/tests/support/fault_proxy.h
@@ -3,6 +3,7 @@
 #include "core/core.h"
 
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
@@ -88,6 +89,8 @@
     void fillBacklog();
 
     boost::asio::io_context context_{1};
+    /// Keeps the thread running while the proxy accepts no connections.
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> workGuard_;
     boost::asio::ip::tcp::acceptor acceptor_;
     const boost::asio::ip::tcp::endpoint endpoint_;
     std::vector<boost::asio::ip::tcp::socket> backlogFillers_;
