The directory leaves out hosts that have lost their path to all upstreams

Callers were sent to hosts that could serve none of their requests, and now to hosts that must pass on each of them.

Cause: the directory named each live host that is ready. Class: readiness that says nothing of what a host can reach. Change: hosts that say in the membership that they have lost their path are no active hosts, unless all have; so they also give up their share of the limits for cold upstreams. Ruled out: GET /ready with 503, which takes a host out for the platform as well, though it serves its callers.

--- a/state/entry_membership.cpp
+++ b/state/entry_membership.cpp
@@ -279,9 +279,15 @@
 {
     std::map<std::string, std::map<std::string, std::vector<MemberState>>> byRegionAndDomain;
     std::map<std::string, std::uint64_t> loadOfRegion;
+    const bool anyConnected =
+            std::any_of(entries.begin(), entries.end(), [](const MemberState &member) {
+                return member.phase == EntryPhase::Ready && !member.upstreamsUnreachable;
+            });
     for (const auto &member : entries) {
         loadOfRegion[member.region] += member.load;
-        if (member.phase == EntryPhase::Ready)
+        // While all hosts are cut, all are active, as they may be the first to connect again.
+        const bool connected = !member.upstreamsUnreachable || !anyConnected;
+        if (member.phase == EntryPhase::Ready && connected)
             byRegionAndDomain[member.region][member.failureDomain].push_back(member);
     }
     std::vector<MemberState> active;
--- a/state/entry_membership.h
+++ b/state/entry_membership.h
@@ -206,7 +206,8 @@
 /// connections to upstreams stay in use and slow upstreams are detected sooner.
 /// @param entries live hosts.
 /// @return for each region two ready hosts in each failure domain, those with the highest capacity
-///         first, and further ones until their capacity is twice the load of the region.
+///         first, and further ones until their capacity is twice the load of the region. Hosts that
+///         have lost their path to all upstreams are left out unless all have.
 std::vector<MemberState> selectActiveEntries(const std::vector<MemberState> &entries);
 
 /// Selects the hosts that are returned to a caller.
--- a/tests/host/test_unreachable_upstreams.cpp
+++ b/tests/host/test_unreachable_upstreams.cpp
@@ -211,3 +211,31 @@
     group.stopHost(StoppedHost);
     CHECK(statusOf(waiting.receive()) == 200);
 }
+
+// Guards against callers that are sent to hosts that must pass on all of their requests.
+TEST_CASE("the directory leaves out hosts that are cut from all upstreams while others are not")
+{
+    HostGroup group(HostCount);
+    waitUntilServing(group);
+    const auto names = [&](int host) {
+        const auto entries = group.locate(2);
+        return entries.find(group.frontAddress(host) + " ") != std::string::npos;
+    };
+    std::vector<std::unique_ptr<LoopingCaller>> callers;
+    for (int host = 1; host <= HostCount; ++host)
+        callers.push_back(std::make_unique<LoopingCaller>(group, host));
+    CHECK(group.waitUntil([&] { return names(1) && names(2) && names(3); }));
+    group.setPath(CutHost, ProxyMode::PartitionRefusing);
+    CHECK(group.waitUntil([&] { return !names(CutHost) && names(2) && names(3); }, ContactTime));
+    SUBCASE("all are named if all are cut")
+    {
+        group.setPath(2, ProxyMode::PartitionRefusing);
+        group.setPath(3, ProxyMode::PartitionRefusing);
+        CHECK(group.waitUntil([&] { return names(1) && names(2) && names(3); }));
+    }
+    SUBCASE("a host is named again after its path has returned")
+    {
+        group.setPath(CutHost, ProxyMode::Pass);
+        CHECK(group.waitUntil([&] { return names(1) && names(2) && names(3); }));
+    }
+}
--- a/tests/support/fault_proxy.cpp
+++ b/tests/support/fault_proxy.cpp
@@ -118,8 +118,10 @@
     for (int i = 0; i < FillerCount; ++i) {
         backlogFillers_.emplace_back(context_, tcp::v4());
         backlogFillers_.back().non_blocking(true, ignored);
-        // A connect of Asio would wait for the kernel to accept the connection.
-        ::connect(backlogFillers_.back().native_handle(), endpoint_.data(), endpoint_.size());
+        // A connect of Asio would wait for the kernel to accept the connection. This one is in
+        // progress when it returns.
+        static_cast<void>(::connect(backlogFillers_.back().native_handle(), endpoint_.data(),
+                                    endpoint_.size()));
     }
 }
 
