Keep a pause of more than an hour that an upstream states (BUDGET)

Cause: a pause above 3,600 s counted as an invalid value and was ignored. Class: a bound on plausible input turns a valid statement into none. Related path: request limits above 1e6 a second are still ignored, which leaves the upstream as unlimited as it says. Change: longer pauses are shortened to a year, also those that no number can hold. A pause too small for a number is ignored as before.

--- a/forward/upstream_notice_parser.cpp
+++ b/forward/upstream_notice_parser.cpp
@@ -1,6 +1,8 @@
 #include "forward/upstream_notice_parser.h"
 
+#include <algorithm>
 #include <charconv>
+#include <limits>
 
 namespace http = boost::beast::http;
 
@@ -26,12 +28,14 @@
 {
     state::UpstreamNotice notice;
     notice.responded = true;
-    notice.requestLimit = parseNumber(fields, names_.requestLimit, MaxRequestLimit, upstream);
+    notice.requestLimit =
+            parseNumber(fields, names_.requestLimit, MaxRequestLimit, Excess::Invalid, upstream);
     notice.leaving = fields[names_.leaving] == Set;
     if (!refused)
         return notice;
     constexpr std::chrono::duration<double> LongestPause = MaxPause;
-    const auto seconds = parseNumber(fields, RetryAfterName, LongestPause.count(), upstream);
+    const auto seconds =
+            parseNumber(fields, RetryAfterName, LongestPause.count(), Excess::Clamped, upstream);
     if (seconds)
         notice.pause = std::chrono::ceil<std::chrono::milliseconds>(
                 std::chrono::duration<double>(*seconds));
@@ -40,7 +44,7 @@
 
 std::optional<double> UpstreamNoticeParser::parseNumber(const http::fields &fields,
                                                         const std::string &name, double limit,
-                                                        const std::string &upstream)
+                                                        Excess excess, const std::string &upstream)
 {
     const auto count = fields.count(name);
     if (count == 0)
@@ -51,9 +55,15 @@
     const auto *end = text.data() + text.size();
     const auto [parsed, error] =
             std::from_chars(text.data(), end, number, std::chars_format::fixed);
-    const bool isNumber = error == std::errc() && parsed == end;
-    if (count == 1 && isNumber && number > 0 && number <= limit)
-        return number;
+    // A number that begins with 0 is out of range because it is too small.
+    const bool isTooLarge =
+            error == std::errc::result_out_of_range && text.front() >= '1' && text.front() <= '9';
+    if (isTooLarge)
+        number = std::numeric_limits<double>::infinity();
+    const bool isNumber = (error == std::errc() || isTooLarge) && parsed == end;
+    const bool isInRange = number > 0 && (number <= limit || excess == Excess::Clamped);
+    if (count == 1 && isNumber && isInRange)
+        return std::min(number, limit);
     invalid_.add();
     transport::logWarning(Part, "ignored an invalid value of an upstream",
                           {{"upstream", upstream},
--- a/forward/upstream_notice_parser.h
+++ b/forward/upstream_notice_parser.h
@@ -15,8 +15,8 @@
 public:
     /// Largest valid request limit, in requests per second.
     static constexpr double MaxRequestLimit = 1e6;
-    /// Longest valid pause.
-    static constexpr std::chrono::hours MaxPause{1};
+    /// Longest pause; a longer one is shortened to it.
+    static constexpr std::chrono::hours MaxPause{24 * 365};
 
     UpstreamNoticeParser(transport::Metrics &metrics, const HeaderNames &names);
 
@@ -26,9 +26,12 @@
                                 const std::string &upstream, bool refused);
 
 private:
-    /// @return the number in a field that occurs once and is above 0 and at most @p limit.
+    /// What a number above the limit of its field means.
+    enum class Excess { Invalid, Clamped };
+
+    /// @return the number in a field that occurs once and is above 0.
     std::optional<double> parseNumber(const boost::beast::http::fields &fields,
-                                      const std::string &name, double limit,
+                                      const std::string &name, double limit, Excess excess,
                                       const std::string &upstream);
 
     const HeaderNames &names_;
--- a/tests/forward/test_upstream_notices.cpp
+++ b/tests/forward/test_upstream_notices.cpp
@@ -82,6 +82,52 @@
     CHECK(upstream.requests().size() == 1);
 }
 
+// Guards against long pauses that are taken for invalid ones and ignored.
+TEST_CASE_FIXTURE(Fixture, "an upstream that states a pause of more than an hour gets no request")
+{
+    std::string seconds;
+    SUBCASE("a little more")
+    {
+        seconds = "3601";
+    }
+    SUBCASE("hours")
+    {
+        seconds = "7200";
+    }
+    SUBCASE("more than a clock can hold")
+    {
+        seconds = "99999999999999999999";
+    }
+    SUBCASE("more than a number can hold")
+    {
+        seconds = std::string(400, '9');
+    }
+    const RawUpstream upstream(
+            respondWith(answerWith("X-Not-Run: 1\r\nRetry-After: " + seconds + "\r\n", 503)));
+    addUpstream("s", "u1", upstream);
+    start();
+    for (int i = 0; i < 10; ++i) {
+        const auto response = call("/s/");
+        CHECK(statusOf(response) == 503);
+        CHECK(std::stod(fieldOf(response, "Retry-After")) >= 3600);
+    }
+    CHECK(upstream.requests().size() == 1);
+}
+
+// Guards against a pause too small for a number that counts as an endless one.
+TEST_CASE_FIXTURE(Fixture, "a pause that is too small for a number is ignored")
+{
+    const auto seconds = "0." + std::string(400, '0') + "1";
+    const RawUpstream upstream(
+            respondWith(answerWith("X-Not-Run: 1\r\nRetry-After: " + seconds + "\r\n", 503)));
+    addUpstream("s", "u1", upstream);
+    start();
+    call("/s/");
+    const auto received = upstream.requests().size();
+    call("/s/");
+    CHECK(upstream.requests().size() > received);
+}
+
 // Guards against requests to an upstream that shuts down while its registration says nothing of it.
 TEST_CASE_FIXTURE(Fixture, "an upstream that says that it is leaving gets no further request")
 {
