Test that a host knows of leaving upstreams while it passes requests on (DRAIN)

The host that passes on an answer with the mark of a leaving upstream is not the one that the upstream answered, and sends requests itself once its path has returned.

--- a/tests/host/host_group.cpp
+++ b/tests/host/host_group.cpp
@@ -288,6 +288,14 @@
     return executions_;
 }
 
+int HostGroup::executionCount(const std::string &upstream) const
+{
+    int total = 0;
+    for (const auto &[key, count] : executions())
+        total += key.second == upstream ? count : 0;
+    return total;
+}
+
 bool HostGroup::waitUntil(const std::function<bool()> &condition, milliseconds limit)
 {
     const auto end = std::chrono::steady_clock::now() + limit;
--- a/tests/host/host_group.h
+++ b/tests/host/host_group.h
@@ -65,6 +65,9 @@
     /// @return number of executions by request id and upstream.
     std::map<std::pair<std::string, std::string>, int> executions() const;
 
+    /// @return number of requests that an upstream has executed.
+    int executionCount(const std::string &upstream) const;
+
     static bool waitUntil(const std::function<bool()> &condition,
                           std::chrono::milliseconds limit = std::chrono::seconds(10));
 
--- a/tests/host/test_unreachable_upstreams.cpp
+++ b/tests/host/test_unreachable_upstreams.cpp
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <atomic>
 #include <memory>
 #include <optional>
 #include <thread>
@@ -239,3 +240,27 @@
         CHECK(group.waitUntil([&] { return names(1) && names(2) && names(3); }));
     }
 }
+
+// Guards against a host that does not know of the shutdown of an upstream whose responses reached
+// it through another host.
+TEST_CASE("a host knows which upstreams said that they leave while it passed requests on")
+{
+    constexpr seconds DrainTime{3};
+    std::atomic<bool> leaves = false;
+    HostGroup group(HostCount, [&](const std::string &id, const std::string &request) {
+        const std::string mark = leaves && id == "p1" ? "X-Leaving: 1\r\n" : "";
+        const auto fields = "X-Id: " + fieldOf(request, "X-Id") + "\r\n" + mark;
+        return RawResponse{makeResponse(std::string(state::RecordBytes, 'r'), id, fields)};
+    });
+    waitUntilServing(group);
+    const LoopingCaller caller(group, CutHost);
+    group.setPath(CutHost, ProxyMode::PartitionRefusing);
+    waitUntilPathLost(group, CutHost, true);
+    leaves = true;
+    std::this_thread::sleep_for(milliseconds(300));
+    group.setPath(CutHost, ProxyMode::Pass);
+    std::this_thread::sleep_for(DrainTime);
+    const auto before = group.executionCount("p1");
+    std::this_thread::sleep_for(seconds(2));
+    CHECK(group.executionCount("p1") == before);
+}
