End an attempt at once if the status of its response is invalid

A caller whose upstream answered with status 000, 001 or 099 waited until its deadline and got 504, though the response was complete; 600 and 999 were passed on to the caller.

Cause: each status below 200 counted as interim, and each from 500 on as the upstream's own failure. Class: a value from outside is interpreted without a check of its range. Change: a status below 100 or above 599, and 101, ends the attempt as dropped with the fault invalid_status; other interim responses are skipped as before.

--- a/forward/forwarding_client.cpp
+++ b/forward/forwarding_client.cpp
@@ -42,7 +42,11 @@
 constexpr std::uint64_t MaxResponseBytes = 8ULL * 1024 * 1024;
 /// Interim responses, and late responses to other requests, that one attempt skips.
 constexpr int MaxSkippedMessages = 8;
+constexpr unsigned FirstStatus = 100;
+/// Attempts ask for no other protocol.
+constexpr unsigned SwitchingProtocolsStatus = 101;
 constexpr unsigned FirstFinalStatus = 200;
+constexpr unsigned LastStatus = 599;
 /// Time that the rest of a status line may take that begins in the last bytes of a body. Both are
 /// sent together, and only segments separate them.
 constexpr std::chrono::milliseconds SegmentDelay{10};
@@ -81,6 +85,11 @@
     return true;
 }
 
+bool isExpectedStatus(unsigned status)
+{
+    return status >= FirstStatus && status <= LastStatus && status != SwitchingProtocolsStatus;
+}
+
 std::string_view textOf(const beast::flat_buffer &buffer)
 {
     const auto bytes = buffer.cdata();
@@ -317,6 +326,12 @@
         if (std::holds_alternative<state::AttemptEnd>(message))
             co_return message;
         auto &response = std::get<UpstreamResponse>(message);
+        if (!isExpectedStatus(response.result_int())) {
+            faults_.report(
+                    ResponseFault::InvalidStatus, connection->number,
+                    {{"request", request->id}, {"status", std::to_string(response.result_int())}});
+            co_return state::AttemptEnd::Dropped;
+        }
         if (response.result_int() < FirstFinalStatus)
             continue;
         if (isResponseTo(response, *connection, request->id)) {
--- a/forward/response_faults.h
+++ b/forward/response_faults.h
@@ -15,6 +15,8 @@
     OtherRequest,
     /// Bytes that begin no response.
     NoResponse,
+    /// A response with a status that is not valid, or that answers no request of this tier.
+    InvalidStatus,
     /// A head that contains another one.
     SecondHead,
     /// A body that holds the beginning of another response.
@@ -25,9 +27,10 @@
     BytesBehind,
 };
 
-inline constexpr std::array<EnumName<ResponseFault>, 6> ResponseFaultNames{{
+inline constexpr std::array<EnumName<ResponseFault>, 7> ResponseFaultNames{{
         {ResponseFault::OtherRequest, "other_request"},
         {ResponseFault::NoResponse, "no_response"},
+        {ResponseFault::InvalidStatus, "invalid_status"},
         {ResponseFault::SecondHead, "second_head"},
         {ResponseFault::FilledBody, "filled_body"},
         {ResponseFault::ResponseBehind, "response_behind"},
--- a/tests/forward/test_misbehaving_upstreams.cpp
+++ b/tests/forward/test_misbehaving_upstreams.cpp
@@ -373,3 +373,65 @@
     CHECK(bodyOf(callWithId("i1", "/once/", "POST")) == "body of i1");
     CHECK(evictions == 1);
 }
+
+// Guards against callers that are held to their deadline by a response that is complete, and
+// against statuses that no client can interpret.
+TEST_CASE_FIXTURE(Fixture, "a response with an invalid status ends its attempt at once")
+{
+    constexpr milliseconds AnswerTime{500};
+    std::string bytes;
+    const RawUpstream faulty([&bytes](const std::string &) { return RawResponse{bytes, false}; });
+    const RawUpstream good(respondWith(makeResponse(std::string(state::RecordBytes, 'b'), "good")));
+    addUpstream("s", "u1", faulty);
+    addUpstream("p0", "u3", faulty);
+    addUpstream("p1", "u2", good);
+    start();
+    std::size_t executions = 0;
+    for (const std::string status : {"000", "001", "099", "101", "600", "999"}) {
+        CAPTURE(status);
+        bytes = "HTTP/1.1 " + status
+                + " Text\r\nX-Sign: sig\r\nX-Id: i1\r\nContent-Length: 16\r\n\r\n"
+                + std::string(state::RecordBytes, 'a');
+        const auto begin = std::chrono::steady_clock::now();
+        CHECK(statusOf(call("/once/", "POST")) == 502);
+        CHECK(faulty.requests().size() == ++executions);
+        const auto gathered = call("/g/");
+        CHECK(statusOf(gathered) == 200);
+        CHECK(fieldOf(gathered, "X-Parts") == "good");
+        CHECK(fieldOf(gathered, "X-Missing") == "1");
+        CHECK(std::chrono::steady_clock::now() - begin < AnswerTime);
+        executions = faulty.requests().size();
+    }
+}
+
+// Guards against a request that is not tried again although its route allows it.
+TEST_CASE("a request is tried again after a response with an invalid status")
+{
+    for (const std::string status : {"000", "099", "600"}) {
+        const RawUpstream faulty(respondWith("HTTP/1.1 " + status
+                                             + " Text\r\nX-Id: i1\r\nContent-Length: 0\r\n\r\n"));
+        const RawUpstream good(respondWith(makeResponse("body", "sig")));
+        ForwarderFixture fixture;
+        fixture.addUpstream("s", "u1", faulty);
+        fixture.addUpstream("s", "u2", good);
+        fixture.start();
+        for (int i = 0; i < 4; ++i)
+            CHECK(bodyOf(fixture.call("/s/")) == "body");
+        CHECK_FALSE(faulty.requests().empty());
+    }
+}
+
+TEST_CASE_FIXTURE(Fixture, "interim responses of any kind are skipped")
+{
+    std::string interim;
+    const RawUpstream upstream([&interim](const std::string &) {
+        return RawResponse{interim + makeResponse("body", "sig"), false};
+    });
+    addUpstream("s", "u1", upstream);
+    start();
+    for (const std::string status : {"100", "102", "103", "199"}) {
+        interim = "HTTP/1.1 " + status + " Text\r\n\r\n";
+        CAPTURE(status);
+        CHECK(bodyOf(call("/s/")) == "body");
+    }
+}
