Read the live hosts at most five times a second for passed on requests

Each decision to pass a request on copied the states of all live hosts: at 7,200 daemons some 7,200 rows for each request of a cut host (read, not measured).

--- a/forward/peer_relay.cpp
+++ b/forward/peer_relay.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr const char *Part = "forward";
+constexpr std::chrono::milliseconds MembersAge{200};
 
 /// Every complete response of a host is an answer; a host checks those of upstreams itself.
 state::AttemptResult classifyPeerResponse(UpstreamResponse response)
@@ -54,12 +55,27 @@
                      std::function<std::vector<state::MemberState>()> members)
     : runtime_(runtime),
       metrics_(metrics),
-      members_(std::move(members)),
+      readMembers_(std::move(members)),
       client_(runtime, metrics, names, makePeerProtocol(names)),
       peers_(std::random_device{}())
 {
 }
 
+bool PeerRelay::hasPeer(const std::vector<std::string> &regions)
+{
+    return state::RelayPeers::hasPeer(members(), regions);
+}
+
+const std::vector<state::MemberState> &PeerRelay::members()
+{
+    const auto now = runtime_.clock().now();
+    if (!membersReadAt_ || now - *membersReadAt_ >= MembersAge) {
+        members_ = readMembers_();
+        membersReadAt_ = now;
+    }
+    return members_;
+}
+
 asio::awaitable<RelayResult> PeerRelay::pass(std::shared_ptr<RelayCall> call,
                                              std::shared_ptr<const ForwardRequest> request,
                                              RelayTerms terms)
@@ -68,7 +84,7 @@
     std::set<std::string> asked;
     const auto used = std::make_shared<UsedConnections>();
     while (asked.size() < MaxPeers && !call->cancelled && runtime_.clock().now() < terms.deadline) {
-        const auto peer = peers_.choose(members_(), terms.regions, asked);
+        const auto peer = peers_.choose(members(), terms.regions, asked);
         if (!peer)
             break;
         asked.insert(peer->control);
--- a/forward/peer_relay.h
+++ b/forward/peer_relay.h
@@ -54,10 +54,7 @@
               std::function<std::vector<state::MemberState>()> members);
 
     /// @return whether a host can take requests for these regions; empty for all.
-    bool hasPeer(const std::vector<std::string> &regions) const
-    {
-        return state::RelayPeers::hasPeer(members_(), regions);
-    }
+    bool hasPeer(const std::vector<std::string> &regions);
 
     /// Passes a request on to one host, and to others if it was certainly not executed there or may
     /// be executed again.
@@ -69,6 +66,9 @@
     void cancel(RelayCall &call);
 
 private:
+    /// @return the live hosts, at most MembersAge old: a copy for each request would be expensive
+    ///         with many hosts.
+    const std::vector<state::MemberState> &members();
     /// @return the response if the host has given one.
     std::optional<CallerResponse> takeResponse(const ForwardRequest &request,
                                                const std::string &peer,
@@ -76,7 +76,9 @@
 
     transport::Runtime &runtime_;
     transport::Metrics &metrics_;
-    const std::function<std::vector<state::MemberState>()> members_;
+    const std::function<std::vector<state::MemberState>()> readMembers_;
+    std::vector<state::MemberState> members_;
+    std::optional<transport::TimePoint> membersReadAt_;
     ForwardingClient client_;
     state::RelayPeers peers_;
     std::uint64_t callCount_ = 0;
