Pass on waiting requests only if open connections bring no responses

While new connections are refused, open ones may still work. The requests in progress at the moment of the loss were cancelled and passed on all the same: they would run on the servers of two hosts, which together may be more than their route allows (BUDGET). The registry is counted only after an upstream has failed, not ten times a second.

--- a/forward/request_forwarder.cpp
+++ b/forward/request_forwarder.cpp
@@ -152,10 +152,10 @@
 
 bool RequestForwarder::mustPassOn(const RequestContext &context) const
 {
-    return path_.isLost() && context.route->idempotent && hasPeerFor(context);
+    return path_.isSilent() && context.route->idempotent && hasPeerFor(context);
 }
 
-void RequestForwarder::onPathLost()
+void RequestForwarder::passOnWaiting()
 {
     for (const auto &trace : active_)
         trace->wake();
--- a/forward/request_forwarder.h
+++ b/forward/request_forwarder.h
@@ -36,8 +36,8 @@
                      ForwardingClient &client, ServiceExecutors &services, CrashGate &crashGate,
                      UpstreamPathMonitor &path, PeerRelay &relay, ForwarderOptions options);
 
-    /// Wakes the requests that wait for upstreams after the path to these was lost.
-    void onPathLost();
+    /// Passes on the requests that wait for upstreams in vain, while the path to these is lost.
+    void passOnWaiting();
 
     /// Applies a new version of the configuration to subsequent requests. Active requests keep the
     /// version that they started with.
@@ -105,7 +105,7 @@
     /// @return whether another host can serve the request.
     bool hasPeerFor(const RequestContext &context) const;
     /// @return whether a request that waits for upstreams should be passed on, since this host has
-    ///         lost its path to them.
+    ///         lost its path to them and open connections bring no responses either.
     bool mustPassOn(const RequestContext &context) const;
     /// @return whether a new request may be completed before the time of finishBy().
     bool fitsBeforeStop(const RequestContext &context) const;
--- a/forward/upstream_path_monitor.cpp
+++ b/forward/upstream_path_monitor.cpp
@@ -57,7 +57,7 @@
 void UpstreamPathMonitor::onAttemptEnded(const std::string &upstream,
                                          const state::AttemptResult &result)
 {
-    reachability_.onAttemptEnded(upstream, result);
+    reachability_.onAttemptEnded(upstream, result, runtime_.clock().now());
 }
 
 bool UpstreamPathMonitor::shouldServe()
@@ -70,7 +70,7 @@
 {
     while (true) {
         co_await runtime_.clock().sleep(CheckInterval);
-        if (reachability_.isTrialDue(hooks_.upstreamCount(), runtime_.clock().now()))
+        if (reachability_.isTrialDue(hooks_.upstreamCount, runtime_.clock().now()))
             co_await runTrial();
     }
 }
@@ -87,10 +87,12 @@
         co_await trial->event.waitUntil(transport::TimePoint::max());
     const auto now = runtime_.clock().now();
     const auto lostTime = reachability_.lostTime(now);
-    if (!reachability_.onTrialEnded(trial->accepted, now))
-        co_return;
-    logChange(describe(upstreams), lostTime);
-    hooks_.onChange();
+    if (reachability_.onTrialEnded(trial->accepted, now)) {
+        logChange(describe(upstreams), lostTime);
+        hooks_.onChange();
+    }
+    if (isLost())
+        hooks_.onStillLost();
 }
 
 asio::awaitable<void> UpstreamPathMonitor::tryUpstream(std::shared_ptr<Trial> trial,
--- a/forward/upstream_path_monitor.h
+++ b/forward/upstream_path_monitor.h
@@ -21,6 +21,8 @@
             [](std::size_t /*count*/) { return std::vector<protocol::HostRecord>(); };
     /// Called after isLost() changed.
     std::function<void()> onChange = [] {};
+    /// Called after each round of trial connections without success.
+    std::function<void()> onStillLost = [] {};
 };
 
 /// Finds out, from the results of attempts and by trial connections, whether this host has lost its
@@ -43,6 +45,9 @@
     /// @return whether no upstream can be reached from this host.
     bool isLost() const { return reachability_.isLost(); }
 
+    /// @return whether requests that wait for upstreams will get no response.
+    bool isSilent() const { return isLost() && reachability_.isSilent(runtime_.clock().now()); }
+
     /// @return whether this host should serve the next request itself, if another host could. After
     ///         the return of the path it takes back its requests little by little.
     bool shouldServe();
--- a/host/host_daemon.cpp
+++ b/host/host_daemon.cpp
@@ -154,6 +154,7 @@
         return registry_.sampleUpstreams(count, random_);
     };
     hooks.onChange = [this] { onUpstreamPathChanged(); };
+    hooks.onStillLost = [this] { forwarder_.passOnWaiting(); };
     return hooks;
 }
 
@@ -378,8 +379,6 @@
     if (membership_.setUpstreamsUnreachable(path_.isLost()))
         exchange_.announce();
     updateHostShare();
-    if (path_.isLost())
-        forwarder_.onPathLost();
 }
 
 void HostDaemon::updatePhase()
--- a/state/upstream_reachability.cpp
+++ b/state/upstream_reachability.cpp
@@ -40,10 +40,13 @@
     unanswered_.try_emplace(upstream, now);
 }
 
-void UpstreamReachability::onAttemptEnded(const std::string &upstream, const AttemptResult &result)
+void UpstreamReachability::onAttemptEnded(const std::string &upstream, const AttemptResult &result,
+                                          TimePoint now)
 {
-    if (hasResponded(result.end))
+    if (hasResponded(result.end)) {
         unanswered_.clear();
+        respondedAt_ = now;
+    }
     const auto accepted = hasAccepted(result);
     if (!accepted)
         return;
@@ -53,20 +56,30 @@
         unconnected_.insert(upstream);
 }
 
-bool UpstreamReachability::isSuspected(std::size_t upstreams, TimePoint now) const
+bool UpstreamReachability::isSuspected(const std::function<std::size_t()> &countUpstreams,
+                                       TimePoint now) const
 {
-    const auto needed = std::min(MinFailedUpstreams, upstreams);
-    const auto silent =
+    const auto silent = static_cast<std::size_t>(
             std::count_if(unanswered_.begin(), unanswered_.end(),
-                          [now](const auto &entry) { return now - entry.second >= SilenceTime; });
-    return unconnected_.size() >= needed || static_cast<std::size_t>(silent) >= needed;
+                          [now](const auto &entry) { return now - entry.second >= SilenceTime; }));
+    const auto failed = std::max(unconnected_.size(), silent);
+    if (failed == 0)
+        return false;
+    const auto known = countUpstreams();
+    return known > 0 && failed >= std::min(MinFailedUpstreams, known);
 }
 
-bool UpstreamReachability::isTrialDue(std::size_t upstreams, TimePoint now) const
+bool UpstreamReachability::isTrialDue(const std::function<std::size_t()> &countUpstreams,
+                                      TimePoint now) const
 {
-    if (upstreams == 0 || (trialAt_ && now - *trialAt_ < TrialInterval))
+    if (trialAt_ && now - *trialAt_ < TrialInterval)
         return false;
-    return isLost() || isSuspected(upstreams, now);
+    return isLost() || isSuspected(countUpstreams, now);
+}
+
+bool UpstreamReachability::isSilent(TimePoint now) const
+{
+    return !respondedAt_ || now - *respondedAt_ >= SilenceTime;
 }
 
 bool UpstreamReachability::onTrialEnded(bool accepted, TimePoint now)
--- a/state/upstream_reachability.h
+++ b/state/upstream_reachability.h
@@ -3,6 +3,7 @@
 #include "state/decaying_latency_histogram.h"
 #include "state/scheduler_actions.h"
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -30,11 +31,12 @@
     void onAttemptStarted(const std::string &upstream, TimePoint now);
 
     /// Records the end of an attempt.
-    void onAttemptEnded(const std::string &upstream, const AttemptResult &result);
+    void onAttemptEnded(const std::string &upstream, const AttemptResult &result, TimePoint now);
 
-    /// @param upstreams number of upstreams that may be used.
+    /// @param countUpstreams returns the number of upstreams that may be used; called only if an
+    ///        upstream has failed.
     /// @return whether trial connections should be opened now.
-    bool isTrialDue(std::size_t upstreams, TimePoint now) const;
+    bool isTrialDue(const std::function<std::size_t()> &countUpstreams, TimePoint now) const;
 
     /// Records the start of a round of trial connections.
     void onTrialStarted(TimePoint now) { trialAt_ = now; }
@@ -47,6 +49,11 @@
     /// @return whether no upstream can be reached.
     bool isLost() const { return lostAt_.has_value(); }
 
+    /// @return whether no upstream has responded for SilenceTime. While new connections are
+    /// refused,
+    ///         open ones may still work.
+    bool isSilent(TimePoint now) const;
+
     /// @return the fraction of the requests that this host should serve itself, 0 to 1.
     double ownFraction(TimePoint now) const;
 
@@ -54,13 +61,14 @@
     Duration lostTime(TimePoint now) const;
 
 private:
-    bool isSuspected(std::size_t upstreams, TimePoint now) const;
+    bool isSuspected(const std::function<std::size_t()> &countUpstreams, TimePoint now) const;
 
     /// Upstreams with an attempt that was started after the last response of any upstream, and the
     /// start of the first one.
     std::map<std::string, TimePoint> unanswered_;
     /// Upstreams that accepted no connection since one was last accepted by any upstream.
     std::set<std::string> unconnected_;
+    std::optional<TimePoint> respondedAt_;
     std::optional<TimePoint> lostAt_;
     std::optional<TimePoint> restoredAt_;
     std::optional<TimePoint> trialAt_;
--- a/tests/host/test_unreachable_upstreams.cpp
+++ b/tests/host/test_unreachable_upstreams.cpp
@@ -264,3 +264,29 @@
     std::this_thread::sleep_for(seconds(2));
     CHECK(group.executionCount("p1") == before);
 }
+
+// Guards against requests that are lost, or passed on without need, when open connections work.
+TEST_CASE("requests in progress stay on open connections that work when new ones are refused")
+{
+    constexpr milliseconds SlowResponse{1000};
+    HostGroup group(HostCount, [&](const std::string &id, const std::string &request) {
+        const auto fields = "X-Id: " + fieldOf(request, "X-Id") + "\r\n";
+        RawResponse response{makeResponse(std::string(state::RecordBytes, 'r'), id, fields)};
+        response.delay =
+                request.find("/slow") == std::string::npos ? milliseconds(3) : SlowResponse;
+        return response;
+    });
+    waitUntilServing(group);
+    std::vector<std::unique_ptr<LoopingCaller>> callers;
+    for (int i = 0; i < 4; ++i)
+        callers.push_back(std::make_unique<LoopingCaller>(group, CutHost));
+    std::this_thread::sleep_for(milliseconds(500));
+    RawCaller waiting(group.frontPort(CutHost));
+    waiting.send(HostGroup::makeRequest("/one/slow"));
+    std::this_thread::sleep_for(milliseconds(100));
+    group.setPath(CutHost, ProxyMode::RefuseNew);
+    CHECK(statusOf(waiting.receive()) == 200);
+    std::this_thread::sleep_for(ContactTime);
+    for (const auto &caller : callers)
+        CHECK(caller->failed() == 0);
+}
--- a/tests/state/test_upstream_reachability.cpp
+++ b/tests/state/test_upstream_reachability.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr std::size_t KnownUpstreams = 40;
+const auto KnownUpstreams = [] { return std::size_t(40); };
 const TimePoint Start{std::chrono::seconds(100)};
 
 AttemptResult notWritten()
@@ -32,26 +32,27 @@
 {
     UpstreamReachability reachability;
     for (const std::string upstream : {"a", "b", "b"})
-        reachability.onAttemptEnded(upstream, notWritten());
+        reachability.onAttemptEnded(upstream, notWritten(), Start);
     CHECK_FALSE(reachability.isTrialDue(KnownUpstreams, Start));
     SUBCASE("an answer on an open connection does not tell whether new ones are accepted")
     {
-        reachability.onAttemptEnded("d", answered());
-        reachability.onAttemptEnded("c", notWritten());
+        reachability.onAttemptEnded("d", answered(), Start);
+        reachability.onAttemptEnded("c", notWritten(), Start);
         CHECK(reachability.isTrialDue(KnownUpstreams, Start));
     }
     SUBCASE("a new connection in between shows that the path is open")
     {
         auto result = answered();
         result.newConnection = true;
-        reachability.onAttemptEnded("d", result);
-        reachability.onAttemptEnded("c", notWritten());
+        reachability.onAttemptEnded("d", result, Start);
+        reachability.onAttemptEnded("c", notWritten(), Start);
         CHECK_FALSE(reachability.isTrialDue(KnownUpstreams, Start));
     }
     SUBCASE("fewer upstreams are known")
     {
-        CHECK(reachability.isTrialDue(2, Start));
-        CHECK_FALSE(reachability.isTrialDue(0, Start));
+        CHECK(reachability.isTrialDue([] { return std::size_t(2); }, Start));
+        CHECK_FALSE(reachability.isTrialDue([] { return std::size_t(3); }, Start));
+        CHECK_FALSE(reachability.isTrialDue([] { return std::size_t(0); }, Start));
     }
 }
 
@@ -68,7 +69,7 @@
     }
     SUBCASE("with a response of another upstream")
     {
-        reachability.onAttemptEnded("d", answered());
+        reachability.onAttemptEnded("d", answered(), Start);
         CHECK_FALSE(reachability.isTrialDue(KnownUpstreams, later));
     }
 }
@@ -77,7 +78,7 @@
 {
     UpstreamReachability reachability;
     for (const std::string upstream : {"a", "b", "c"})
-        reachability.onAttemptEnded(upstream, notWritten());
+        reachability.onAttemptEnded(upstream, notWritten(), Start);
     SUBCASE("other upstreams accept connections")
     {
         CHECK_FALSE(reachability.onTrialEnded(true, Start));
@@ -103,3 +104,15 @@
         CHECK(reachability.ownFraction(half + UpstreamReachability::RecoveryTime) == 1);
     }
 }
+
+// Guards against requests that are passed on while open connections still bring their responses.
+TEST_CASE("upstreams are silent only if none has responded for some time")
+{
+    UpstreamReachability reachability;
+    CHECK(reachability.isSilent(Start));
+    reachability.onAttemptEnded("a", answered(), Start);
+    const auto later = Start + UpstreamReachability::SilenceTime;
+    CHECK_FALSE(reachability.isSilent(later - milliseconds(1)));
+    reachability.onAttemptEnded("a", notWritten(), later);
+    CHECK(reachability.isSilent(later));
+}
