An entry without version, sequence or cold time names no upstream (ROUTE)

Entries of another writer in the store became upstreams, and a third to over a half of a service's requests ran on the processes that they named. Cause: decodeUpstream() looked at some of the fields of an entry only. Class: a partial check of outside data. Change: `version` (text), `sequence` (whole number, not negative) and `cold_left_ms` (number) must be there. Ruled out: the instance that a request expects, which the foreign process is.

--- a/tests/platform/test_record_codec.cpp
+++ b/tests/platform/test_record_codec.cpp
@@ -83,6 +83,15 @@
                  {"\"service\":\"s1\",", ""},
                  {"\"concurrency_limit\":2", "\"concurrency_limit\":\"two\""},
                  {"\"zone\":\"z1\"", "\"zone\":null"},
+                 {"\"version\":\"v1\",", ""},
+                 {"\"version\":\"v1\"", "\"version\":1"},
+                 {"\"version\":\"v1\"", "\"version\":null"},
+                 {"\"sequence\":4,", ""},
+                 {"\"sequence\":4", "\"sequence\":\"four\""},
+                 {"\"sequence\":4", "\"sequence\":-4"},
+                 {"\"sequence\":4", "\"sequence\":4.5"},
+                 {"\"cold_left_ms\":1500,", ""},
+                 {"\"cold_left_ms\":1500", "\"cold_left_ms\":\"soon\""},
                  {"\"born\":17", "\"born\":\"then\""}}) {
         CAPTURE(change.second);
         CHECK_FALSE(isOk(decodeUpstream("i-1", replaced(Server, change.first, change.second))));
