The directory names hosts outside home regions only to callers of their region (HOME)

Cause: the directory chose by the regions of gathered shards only. Class: a choice by where work is done that leaves out where it may be done. Change: outside the caller's own region only hosts in the regions that all routes of the host name with homes have in common are named, as long as there are any. Ruled out: naming only home regions to all callers, which takes local callers of other routes of that host name across regions for nothing.

New test of the choice of hosts.

--- a/host/host_daemon.cpp
+++ b/host/host_daemon.cpp
@@ -458,14 +458,35 @@
     return regions;
 }
 
+std::vector<std::string> HostDaemon::findHomeRegions(const std::string &host,
+                                                     const std::string &callerRegion) const
+{
+    if (!forwarder_.routes())
+        return {};
+    std::optional<std::vector<std::string>> common;
+    for (const auto *route : forwarder_.routes()->routesOf(host)) {
+        const auto &homes = route->homeRegions;
+        if (homes.empty())
+            continue;
+        if (!common)
+            common = homes;
+        std::erase_if(*common, [&homes](const std::string &region) {
+            return std::find(homes.begin(), homes.end(), region) == homes.end();
+        });
+    }
+    if (common && common->empty())
+        return {callerRegion};
+    return common.value_or(std::vector<std::string>());
+}
+
 asio::awaitable<transport::HttpResponse> HostDaemon::handleLocate(transport::HttpRequest request)
 {
     const auto lookup = hooks_.parseLocateRequest(request.target);
     if (!lookup)
         co_return transport::HttpResponse(404, "{}");
-    const auto entries =
-            state::selectEntriesForCaller(membership_.liveMembers(), lookup->region,
-                                          findServingRegions(lookup->host), MaxDirectoryEntries);
+    const auto entries = state::selectEntriesForCaller(
+            membership_.liveMembers(), lookup->region, findServingRegions(lookup->host),
+            findHomeRegions(lookup->host, lookup->region), MaxDirectoryEntries);
     co_return transport::HttpResponse(200,
                                       hooks_.formatLocateResponse(entries, options_.directoryTtl));
 }
--- a/host/host_daemon.h
+++ b/host/host_daemon.h
@@ -62,6 +62,10 @@
     boost::asio::awaitable<transport::HttpResponse> handleReadiness(transport::HttpRequest request);
     boost::asio::awaitable<transport::HttpResponse> handleMetrics(transport::HttpRequest request);
     std::vector<std::string> findServingRegions(const std::string &host) const;
+    /// @return the regions that may handle all requests with a host name; empty for all. If its
+    ///         routes have no home in common, only @p callerRegion.
+    std::vector<std::string> findHomeRegions(const std::string &host,
+                                             const std::string &callerRegion) const;
     void addGauges();
 
     transport::Runtime &runtime_;
--- a/state/entry_membership.cpp
+++ b/state/entry_membership.cpp
@@ -320,17 +320,25 @@
 std::vector<MemberState> selectEntriesForCaller(const std::vector<MemberState> &entries,
                                                 const std::string &callerRegion,
                                                 const std::vector<std::string> &servingRegions,
+                                                const std::vector<std::string> &homeRegions,
                                                 std::size_t maxCount)
 {
-    const auto serves = [&servingRegions](const std::string &region) {
-        return std::find(servingRegions.begin(), servingRegions.end(), region)
-               != servingRegions.end();
+    const auto contains = [](const std::vector<std::string> &regions, const std::string &region) {
+        return std::find(regions.begin(), regions.end(), region) != regions.end();
     };
+    const auto isHome = [&](const MemberState &member) {
+        return homeRegions.empty() || contains(homeRegions, member.region);
+    };
+    const bool callerIsServed = contains(servingRegions, callerRegion);
     const std::vector<std::function<bool(const MemberState &)>> preferences{
             [&](const MemberState &member) {
-                return member.region == callerRegion && serves(callerRegion);
+                return member.region == callerRegion && callerIsServed;
+            },
+            [&](const MemberState &member) {
+                return contains(servingRegions, member.region) && isHome(member);
             },
-            [&](const MemberState &member) { return serves(member.region); },
+            [&](const MemberState &member) { return isHome(member); },
+            [&](const MemberState &member) { return member.region == callerRegion; },
             [](const MemberState & /*member*/) { return true; },
     };
     const auto active = selectActiveEntries(entries);
--- a/state/entry_membership.h
+++ b/state/entry_membership.h
@@ -215,12 +215,16 @@
 /// @param callerRegion region of the caller.
 /// @param servingRegions regions with the upstreams that the caller's requests need. A host in
 ///        another region would fetch every part of a response across regions.
+/// @param homeRegions regions that may handle the caller's requests; empty for all. The region of
+///        the caller may receive them as well.
 /// @param maxCount maximum number of hosts.
 /// @return the active hosts in the caller's region if it is a serving region, else those in the
-///         serving regions, else all active hosts; hosts that are starting if none is ready.
+///         serving regions, else all active hosts; outside the caller's region only those in home
+///         regions if there are any there. Hosts that are starting if none is ready.
 std::vector<MemberState> selectEntriesForCaller(const std::vector<MemberState> &entries,
                                                 const std::string &callerRegion,
                                                 const std::vector<std::string> &servingRegions,
+                                                const std::vector<std::string> &homeRegions,
                                                 std::size_t maxCount);
 
 } // namespace persimmon::state
--- a/tests/state/test_entry_membership.cpp
+++ b/tests/state/test_entry_membership.cpp
@@ -154,12 +154,28 @@
                                            makeMember("c", "r1", EntryPhase::Leaving),
                                            makeMember("d", "r3"),
                                            makeMember("e", "r1", EntryPhase::Starting)};
-    CHECK(namesOf(selectEntriesForCaller(members, "r1", {"r1", "r2"}, 64)) == Names{"a"});
-    CHECK(namesOf(selectEntriesForCaller(members, "r3", {"r1", "r2"}, 64)) == Names{"a", "b"});
-    CHECK(namesOf(selectEntriesForCaller(members, "r3", {}, 64)) == Names{"a", "b", "d"});
-    CHECK(namesOf(selectEntriesForCaller({members[2], members[4]}, "r1", {"r1"}, 64))
+    CHECK(namesOf(selectEntriesForCaller(members, "r1", {"r1", "r2"}, {}, 64)) == Names{"a"});
+    CHECK(namesOf(selectEntriesForCaller(members, "r3", {"r1", "r2"}, {}, 64)) == Names{"a", "b"});
+    CHECK(namesOf(selectEntriesForCaller(members, "r3", {}, {}, 64)) == Names{"a", "b", "d"});
+    CHECK(namesOf(selectEntriesForCaller({members[2], members[4]}, "r1", {"r1"}, {}, 64))
           == Names{"e"});
-    CHECK(selectEntriesForCaller(members, "r3", {}, 2).size() == 2);
+    CHECK(selectEntriesForCaller(members, "r3", {}, {}, 2).size() == 2);
+}
+
+// Guards against callers that are sent to a region that may not handle their requests.
+TEST_CASE("hosts outside the home regions are returned only to callers of their own region")
+{
+    const std::vector<MemberState> members{makeMember("a", "r1"), makeMember("b", "r2"),
+                                           makeMember("c", "r3")};
+    const std::vector<std::string> serving{"r1", "r2"};
+    CHECK(namesOf(selectEntriesForCaller(members, "r3", serving, {"r1"}, 64)) == Names{"a"});
+    CHECK(namesOf(selectEntriesForCaller(members, "r2", serving, {"r1"}, 64)) == Names{"b"});
+    CHECK(namesOf(selectEntriesForCaller(members, "r1", serving, {"r3"}, 64)) == Names{"a"});
+    CHECK(namesOf(selectEntriesForCaller(members, "r3", serving, {"r3"}, 64)) == Names{"c"});
+    CHECK(namesOf(selectEntriesForCaller(members, "r3", {}, {"r2"}, 64)) == Names{"b"});
+    // Callers are served by their own region while the home has no host.
+    CHECK(namesOf(selectEntriesForCaller({members[1], members[2]}, "r3", serving, {"r1"}, 64))
+          == Names{"c"});
 }
 
 TEST_CASE("membership converges after random exchanges, losses and restarts")
