--- a/forward/forward.h
+++ b/forward/forward.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "forward/attempt_trace.h"
+#include "forward/caller_reply.h"
 #include "forward/crash_gate.h"
 #include "forward/embedded_head.h"
 #include "forward/forward_request.h"
--- a/forward/request_forwarder.cpp
+++ b/forward/request_forwarder.cpp
@@ -13,25 +13,6 @@
 namespace {
 
 constexpr const char *Part = "forward";
-/// Retry-After value when no estimate is available.
-constexpr std::chrono::milliseconds DefaultRetryAfter{300};
-constexpr std::chrono::milliseconds MinRetryAfter{50};
-
-/// @return a random factor for the Retry-After value, so that refused callers do not retry at the
-///         same time.
-double randomJitter()
-{
-    static std::mt19937_64 random{std::random_device{}()};
-    return std::uniform_real_distribution<double>(1.0, 1.6)(random);
-}
-
-std::string formatSeconds(transport::Duration wait)
-{
-    const auto milliseconds = std::chrono::ceil<std::chrono::milliseconds>(wait).count();
-    const auto fraction = std::to_string(1000 + milliseconds % 1000).substr(1);
-    return std::to_string(milliseconds / 1000) + "." + fraction;
-}
-
 std::uint32_t workClassOf(const state::Route &route)
 {
     return static_cast<std::uint32_t>(std::hash<std::string>{}(route.name));
@@ -52,23 +33,6 @@
     return text;
 }
 
-/// @return the first few shards without a result and their errors, for log messages.
-std::string describeMissingShards(const state::GatherRun &run,
-                                  const std::vector<std::string> &shards)
-{
-    constexpr std::size_t MaxShards = 5;
-    std::string text;
-    std::size_t count = 0;
-    for (std::size_t i = 0; i < shards.size() && count < MaxShards; ++i) {
-        if (run.parts()[i])
-            continue;
-        const auto error = run.errorOf(i);
-        text.append(count++ == 0 ? "" : " ").append(shards[i]).append(":");
-        text.append(error ? enumName(protocol::SubErrorNames, *error) : "no_reply_yet");
-    }
-    return text;
-}
-
 } // namespace
 
 RequestForwarder::RequestForwarder(transport::Runtime &runtime, transport::Metrics &metrics,
@@ -101,7 +65,7 @@
     co_return std::move(reply.response);
 }
 
-asio::awaitable<RequestForwarder::Reply> RequestForwarder::serveRoute(RequestContext &context)
+asio::awaitable<CallerReply> RequestForwarder::serveRoute(RequestContext &context)
 {
     if (!context.routes)
         co_return refuseOnThisHost("no_configuration", DefaultRetryAfter);
@@ -110,7 +74,7 @@
         co_return refuseOnThisHost("older_configuration", DefaultRetryAfter);
     context.route = context.routes->find(context.request->host, context.request->target);
     if (context.route == nullptr)
-        co_return fail(NotFoundStatus, "no_route");
+        co_return failCaller(NotFoundStatus, "no_route");
     transport::Duration time = context.route->timeout;
     if (context.request->callerTimeout)
         time = std::min<transport::Duration>(time, *context.request->callerTimeout);
@@ -120,17 +84,16 @@
     context.deadline = std::min(context.deadline, stopAt_);
     const auto quarantine = crashGate_.quarantineTimeLeft(*context.request);
     if (quarantine)
-        co_return refuse("quarantined", *quarantine);
+        co_return refuseCaller("quarantined", *quarantine);
     active_.insert(context.trace);
     auto reply = co_await serveActive(context);
     active_.erase(context.trace);
     co_return reply;
 }
 
-asio::awaitable<RequestForwarder::Reply>
-RequestForwarder::serveActive(const RequestContext &context)
+asio::awaitable<CallerReply> RequestForwarder::serveActive(const RequestContext &context)
 {
-    std::optional<Reply> reply;
+    std::optional<CallerReply> reply;
     const bool passesOn = !path_.shouldServe() && hasPeerFor(context);
     if (!passesOn && path_.isLost())
         co_return refuseOnThisHost("no_path", state::UpstreamReachability::TrialInterval);
@@ -161,7 +124,7 @@
         trace->wake();
 }
 
-asio::awaitable<std::optional<RequestForwarder::Reply>>
+asio::awaitable<std::optional<CallerReply>>
 RequestForwarder::serveByPeer(const RequestContext &context)
 {
     const auto call = std::make_shared<RelayCall>();
@@ -181,25 +144,24 @@
     context.trace->wake = [] {};
     context.trace->mayHaveExecuted = context.trace->mayHaveExecuted || relayed.mayHaveExecuted;
     if (relayed.response)
-        co_return Reply{*relayed.response, "passed_to_host", {{"host", relayed.peer}}};
+        co_return CallerReply{*relayed.response, "passed_to_host", {{"host", relayed.peer}}};
     if (call->cancelled)
-        co_return fail(GatewayTimeoutStatus,
-                       context.monitor->disconnected ? "caller_gone" : "shutting_down");
+        co_return failCaller(GatewayTimeoutStatus,
+                             context.monitor->disconnected ? "caller_gone" : "shutting_down");
     if (runtime_.clock().now() >= context.deadline)
-        co_return fail(GatewayTimeoutStatus, "deadline");
+        co_return failCaller(GatewayTimeoutStatus, "deadline");
     if (relayed.mayHaveExecuted)
-        co_return fail(BadGatewayStatus, "host_lost");
+        co_return failCaller(BadGatewayStatus, "host_lost");
     co_return std::nullopt;
 }
 
-RequestForwarder::Reply RequestForwarder::withTrueStatus(const RequestContext &context,
-                                                         Reply reply) const
+CallerReply RequestForwarder::withTrueStatus(const RequestContext &context, CallerReply reply) const
 {
     const int status = reply.response.status;
     if (!statesNotExecuted(status) || context.trace->isUnexecuted())
         return reply;
     // The signature stands for the upstream's own status and is left out with its other fields.
-    auto corrected = fail(BadGatewayStatus, "status_states_not_executed");
+    auto corrected = failCaller(BadGatewayStatus, "status_states_not_executed");
     corrected.fields.push_back({"replaced_status", std::to_string(status)});
     corrected.fields.insert(corrected.fields.end(), reply.fields.begin(), reply.fields.end());
     return corrected;
@@ -306,7 +268,7 @@
     co_return result;
 }
 
-asio::awaitable<std::optional<RequestForwarder::Reply>>
+asio::awaitable<std::optional<CallerReply>>
 RequestForwarder::serveSingle(const RequestContext &context)
 {
     struct PendingReply
@@ -338,15 +300,15 @@
         if (mustPassOn(context) && !context.monitor->disconnected && !isStopped())
             co_return std::nullopt;
         const auto *reason = isStopped() ? "shutting_down" : "deadline";
-        co_return fail(GatewayTimeoutStatus,
-                       context.monitor->disconnected ? "caller_gone" : reason);
+        co_return failCaller(GatewayTimeoutStatus,
+                             context.monitor->disconnected ? "caller_gone" : reason);
     }
     co_return makeSingleReply(context, service, *pendingReply->reply);
 }
 
-RequestForwarder::Reply RequestForwarder::makeSingleReply(const RequestContext &context,
-                                                          const std::string &service,
-                                                          const state::SubReply &result) const
+CallerReply RequestForwarder::makeSingleReply(const RequestContext &context,
+                                              const std::string &service,
+                                              const state::SubReply &result) const
 {
     if (result.answer) {
         const bool done = result.outcome == protocol::SubOutcome::Done;
@@ -360,10 +322,10 @@
         const auto wait = result.error == protocol::SubError::Restricted
                                   ? executor.acceptanceWait(context.route->priority)
                                   : executor.expectedWait(workClassOf(*context.route));
-        return refuse(reason, wait.value_or(DefaultRetryAfter));
+        return refuseCaller(reason, wait.value_or(DefaultRetryAfter));
     }
     const bool late = result.error == protocol::SubError::DeadlineExceeded;
-    return fail(late ? GatewayTimeoutStatus : BadGatewayStatus, reason);
+    return failCaller(late ? GatewayTimeoutStatus : BadGatewayStatus, reason);
 }
 
 std::optional<transport::Duration> RequestForwarder::gatherWait(const RequestContext &context) const
@@ -383,7 +345,7 @@
     return *last;
 }
 
-asio::awaitable<std::optional<RequestForwarder::Reply>>
+asio::awaitable<std::optional<CallerReply>>
 RequestForwarder::serveGather(const RequestContext &context)
 {
     struct PendingGather
@@ -400,9 +362,9 @@
     };
     const auto wait = gatherWait(context);
     if (!wait)
-        co_return refuse("too_few_shards", DefaultRetryAfter);
+        co_return refuseCaller("too_few_shards", DefaultRetryAfter);
     if (*wait > transport::Duration(0))
-        co_return refuse("restricted", *wait);
+        co_return refuseCaller("restricted", *wait);
     const auto &route = *context.route;
     const auto &shards = route.gather.shards;
     state::GatherPolicy policy;
@@ -439,73 +401,29 @@
             pending.executor->cancel(pending.id);
     }
     if (context.monitor->disconnected)
-        co_return fail(GatewayTimeoutStatus, "caller_gone");
+        co_return failCaller(GatewayTimeoutStatus, "caller_gone");
     if (gather->run.outcome() == state::GatherOutcome::Waiting)
         co_return std::nullopt;
     co_return makeGatherReply(context, gather->run);
 }
 
-RequestForwarder::Reply RequestForwarder::makeGatherReply(const RequestContext &context,
-                                                          const state::GatherRun &run) const
+CallerReply RequestForwarder::makeGatherReply(const RequestContext &context,
+                                              const state::GatherRun &run) const
 {
     const auto parts = std::to_string(run.partCount());
     const auto leftOut = describeMissingShards(run, context.route->gather.shards);
     const bool refused = run.outcome() == state::GatherOutcome::Refused;
     if (refused && context.trace->isUnexecuted())
-        return refuse("too_few_shards", DefaultRetryAfter);
+        return refuseCaller("too_few_shards", DefaultRetryAfter);
     if (refused || run.outcome() == state::GatherOutcome::Failed) {
         const bool late = runtime_.clock().now() + options_.returnLatency >= context.deadline;
-        return fail(late ? GatewayTimeoutStatus : BadGatewayStatus,
-                    "too_few_parts: " + parts + " received; missing " + leftOut);
-    }
-    std::string signatures;
-    std::vector<std::string_view> bodies;
-    for (const auto &part : run.parts()) {
-        if (!part)
-            continue;
-        signatures.append(signatures.empty() ? "" : ", ").append(part->signature);
-        bodies.emplace_back(part->body);
+        return failCaller(late ? GatewayTimeoutStatus : BadGatewayStatus,
+                          "too_few_parts: " + parts + " received; missing " + leftOut);
     }
-    const auto missing = std::to_string(context.route->gather.shards.size() - run.partCount());
-    CallerResponse response;
-    response.headers = {{options_.names.requestId, context.request->id},
-                        {options_.names.partSignatures, signatures},
-                        {options_.names.missingParts, missing},
-                        {"Content-Type", "application/octet-stream"}};
-    response.body = state::mergeTopRecords(bodies, context.route->gather.topRecords);
-    return {std::move(response),
-            std::string(enumName(state::GatherOutcomeNames, run.outcome())),
-            {{"parts", parts}, {"missing", missing}, {"left_out", leftOut}}};
-}
-
-RequestForwarder::Reply RequestForwarder::refuse(const std::string &reason,
-                                                 transport::Duration wait) const
-{
-    const auto jitteredWait = std::chrono::duration_cast<transport::Duration>(
-            std::max<transport::Duration>(wait, MinRetryAfter) * randomJitter());
-    const auto retryAfter = formatSeconds(jitteredWait);
-    CallerResponse response;
-    response.status = ServiceUnavailableStatus;
-    response.headers.push_back({"Retry-After", retryAfter});
-    return {std::move(response), "refused", {{"reason", reason}, {"retry_after", retryAfter}}};
-}
-
-RequestForwarder::Reply RequestForwarder::refuseOnThisHost(const std::string &reason,
-                                                           transport::Duration wait) const
-{
-    auto reply = refuse(reason, wait);
-    reply.hostRefusal = reason;
-    return reply;
-}
-
-RequestForwarder::Reply RequestForwarder::fail(int status, const std::string &reason) const
-{
-    CallerResponse response;
-    response.status = status;
-    return {std::move(response), "failed", {{"reason", reason}}};
+    return makeGatheredReply(options_.names, context.request->id, context.route->gather, run);
 }
 
-void RequestForwarder::recordResult(const RequestContext &context, const Reply &reply)
+void RequestForwarder::recordResult(const RequestContext &context, const CallerReply &reply)
 {
     const auto time = runtime_.clock().now() - context.request->receivedAt;
     const std::string route = context.route == nullptr ? "none" : context.route->name;
--- a/forward/request_forwarder.h
+++ b/forward/request_forwarder.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "forward/caller_reply.h"
 #include "forward/crash_gate.h"
 #include "forward/peer_relay.h"
 #include "forward/service_executors.h"
@@ -74,15 +75,6 @@
         /// Time by which the caller must have the response.
         transport::TimePoint deadline{};
     };
-    /// Response to a caller, and what the log line of the request says of it.
-    struct Reply
-    {
-        CallerResponse response;
-        std::string outcome;
-        std::vector<transport::LogField> fields;
-        /// Why this host cannot serve the request although another one may; empty otherwise.
-        std::string hostRefusal = {};
-    };
     /// The sub-request of one shard and the executor that it was submitted to.
     struct ShardSubRequest
     {
@@ -92,16 +84,16 @@
     };
 
     /// Finds the route of a request and forwards it.
-    boost::asio::awaitable<Reply> serveRoute(RequestContext &context);
+    boost::asio::awaitable<CallerReply> serveRoute(RequestContext &context);
     /// Forwards a request to upstreams, or passes it on to another host.
-    boost::asio::awaitable<Reply> serveActive(const RequestContext &context);
+    boost::asio::awaitable<CallerReply> serveActive(const RequestContext &context);
     /// @return std::nullopt if the path to the upstreams was lost and another host can serve the
     ///         request.
-    boost::asio::awaitable<std::optional<Reply>> serveSingle(const RequestContext &context);
-    boost::asio::awaitable<std::optional<Reply>> serveGather(const RequestContext &context);
+    boost::asio::awaitable<std::optional<CallerReply>> serveSingle(const RequestContext &context);
+    boost::asio::awaitable<std::optional<CallerReply>> serveGather(const RequestContext &context);
     /// Passes a request on to another host.
     /// @return std::nullopt if there is none.
-    boost::asio::awaitable<std::optional<Reply>> serveByPeer(const RequestContext &context);
+    boost::asio::awaitable<std::optional<CallerReply>> serveByPeer(const RequestContext &context);
     /// @return whether another host can serve the request.
     bool hasPeerFor(const RequestContext &context) const;
     /// @return whether a request that waits for upstreams should be passed on, since this host has
@@ -115,20 +107,16 @@
     runAttempt(std::shared_ptr<const ForwardRequest> request, std::shared_ptr<AttemptTrace> trace,
                state::StartAttempt action, transport::TimePoint deadline, bool idempotent,
                std::shared_ptr<UsedConnections> used);
-    Reply refuse(const std::string &reason, transport::Duration wait) const;
-    /// Refuses a request that another host may serve.
-    Reply refuseOnThisHost(const std::string &reason, transport::Duration wait) const;
-    Reply fail(int status, const std::string &reason) const;
-    Reply makeSingleReply(const RequestContext &context, const std::string &service,
-                          const state::SubReply &result) const;
-    Reply makeGatherReply(const RequestContext &context, const state::GatherRun &run) const;
+    CallerReply makeSingleReply(const RequestContext &context, const std::string &service,
+                                const state::SubReply &result) const;
+    CallerReply makeGatherReply(const RequestContext &context, const state::GatherRun &run) const;
     /// Replaces a response whose status states that the request was not executed, unless that is
     /// certain. All responses to callers pass through here.
-    Reply withTrueStatus(const RequestContext &context, Reply reply) const;
+    CallerReply withTrueStatus(const RequestContext &context, CallerReply reply) const;
     /// @return the time until enough shards of a gathered request have an upstream that accepts it,
     ///         0 if they have one now, or std::nullopt if too few will.
     std::optional<transport::Duration> gatherWait(const RequestContext &context) const;
-    void recordResult(const RequestContext &context, const Reply &reply);
+    void recordResult(const RequestContext &context, const CallerReply &reply);
 
     transport::Runtime &runtime_;
     transport::Metrics &metrics_;
--- a/host/host.h
+++ b/host/host.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "host/caller_directory.h"
 #include "host/file_watcher.h"
 #include "host/host_daemon.h"
 #include "host/host_options.h"
--- a/host/host_daemon.cpp
+++ b/host/host_daemon.cpp
@@ -12,7 +12,6 @@
 constexpr const char *Part = "host";
 constexpr std::chrono::milliseconds TickInterval{250};
 constexpr std::chrono::milliseconds StopPollInterval{20};
-constexpr std::size_t MaxDirectoryEntries = 64;
 /// Fraction of the grace period for which idle connections of callers stay open during shutdown.
 constexpr double IdleGraceFraction = 0.6;
 /// Fraction of the grace period after which all requests are answered.
@@ -437,56 +436,12 @@
     updateHostShare();
 }
 
-std::vector<std::string> HostDaemon::findServingRegions(const std::string &host) const
-{
-    std::map<std::string, std::size_t> shards;
-    std::size_t total = 0;
-    if (!forwarder_.routes())
-        return {};
-    for (const auto *route : forwarder_.routes()->routesOf(host)) {
-        for (const auto &shard : route->gather.shards) {
-            ++total;
-            for (const auto &region : registry_.regionsOf(shard))
-                ++shards[region];
-        }
-    }
-    std::vector<std::string> regions;
-    for (const auto &[region, count] : shards) {
-        if (count * 2 >= total)
-            regions.push_back(region);
-    }
-    return regions;
-}
-
-std::vector<std::string> HostDaemon::findHomeRegions(const std::string &host,
-                                                     const std::string &callerRegion) const
-{
-    if (!forwarder_.routes())
-        return {};
-    std::optional<std::vector<std::string>> common;
-    for (const auto *route : forwarder_.routes()->routesOf(host)) {
-        const auto &homes = route->homeRegions;
-        if (homes.empty())
-            continue;
-        if (!common)
-            common = homes;
-        std::erase_if(*common, [&homes](const std::string &region) {
-            return std::find(homes.begin(), homes.end(), region) == homes.end();
-        });
-    }
-    if (common && common->empty())
-        return {callerRegion};
-    return common.value_or(std::vector<std::string>());
-}
-
 asio::awaitable<transport::HttpResponse> HostDaemon::handleLocate(transport::HttpRequest request)
 {
     const auto lookup = hooks_.parseLocateRequest(request.target);
     if (!lookup)
         co_return transport::HttpResponse(404, "{}");
-    const auto entries = state::selectEntriesForCaller(
-            membership_.liveMembers(), lookup->region, findServingRegions(lookup->host),
-            findHomeRegions(lookup->host, lookup->region), MaxDirectoryEntries);
+    const auto entries = callerDirectory_.select(*lookup);
     co_return transport::HttpResponse(200,
                                       hooks_.formatLocateResponse(entries, options_.directoryTtl));
 }
--- a/host/host_daemon.h
+++ b/host/host_daemon.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "host/caller_directory.h"
 #include "host/host_options.h"
 
 #include <memory>
@@ -61,11 +62,6 @@
     boost::asio::awaitable<transport::HttpResponse> handleLocate(transport::HttpRequest request);
     boost::asio::awaitable<transport::HttpResponse> handleReadiness(transport::HttpRequest request);
     boost::asio::awaitable<transport::HttpResponse> handleMetrics(transport::HttpRequest request);
-    std::vector<std::string> findServingRegions(const std::string &host) const;
-    /// @return the regions that may handle all requests with a host name; empty for all. If its
-    ///         routes have no home in common, only @p callerRegion.
-    std::vector<std::string> findHomeRegions(const std::string &host,
-                                             const std::string &callerRegion) const;
     void addGauges();
 
     transport::Runtime &runtime_;
@@ -85,6 +81,7 @@
     forward::UpstreamPathMonitor path_;
     forward::PeerRelay relay_;
     forward::RequestForwarder forwarder_;
+    CallerDirectory callerDirectory_{membership_, registry_, forwarder_};
     coordination::RecordFollower follower_;
     coordination::PeerExchange exchange_;
     forward::FrontendServer frontendServer_;
