--- a/forward/peer_relay.cpp
+++ b/forward/peer_relay.cpp
@@ -48,6 +48,14 @@
     return boost::beast::iequals(field.name, {name.data(), name.size()});
 }
 
+/// @return whether the response is a refusal that leaves the request to another host.
+bool removeRefusal(CallerResponse &response)
+{
+    return std::erase_if(response.headers,
+                         [](const auto &field) { return hasName(field, PeerRefusalField); })
+           > 0;
+}
+
 } // namespace
 
 PeerRelay::PeerRelay(transport::Runtime &runtime, transport::Metrics &metrics,
@@ -89,25 +97,9 @@
             break;
         asked.insert(peer->control);
         relayed.peer = peer->control;
-        const auto age = std::chrono::floor<std::chrono::milliseconds>(runtime_.clock().now()
-                                                                       - request->receivedAt);
-        const auto passed = std::make_shared<ForwardRequest>(*request);
-        passed->passedOn = {age, terms.configVersion};
-        protocol::HostRecord target;
-        target.name = peer->control;
-        target.address = peer->relay;
-        call->key = {++callCount_, 1};
-        peers_.onStarted(peer->control);
-        const auto result = co_await client_.execute(call->key, target, passed, terms.deadline,
-                                                     terms.idempotent, used);
-        peers_.onEnded(peer->control);
-        auto response = takeResponse(*request, peer->control, result);
-        if (response) {
-            const auto refusal = std::remove_if(
-                    response->headers.begin(), response->headers.end(),
-                    [](const auto &field) { return hasName(field, PeerRefusalField); });
-            const bool refused = refusal != response->headers.end();
-            response->headers.erase(refusal, response->headers.end());
+        const auto result = co_await offer(call, request, *peer, terms, used);
+        if (auto response = takeResponse(*request, peer->control, result)) {
+            const bool refused = removeRefusal(*response);
             relayed.response = std::move(response);
             if (!refused)
                 break;
@@ -121,6 +113,25 @@
     co_return relayed;
 }
 
+asio::awaitable<state::AttemptResult>
+PeerRelay::offer(std::shared_ptr<RelayCall> call, std::shared_ptr<const ForwardRequest> request,
+                 state::MemberState peer, RelayTerms terms, std::shared_ptr<UsedConnections> used)
+{
+    const auto age = std::chrono::floor<std::chrono::milliseconds>(runtime_.clock().now()
+                                                                   - request->receivedAt);
+    const auto passed = std::make_shared<ForwardRequest>(*request);
+    passed->passedOn = {age, terms.configVersion};
+    protocol::HostRecord target;
+    target.name = peer.control;
+    target.address = peer.relay;
+    call->key = {++callCount_, 1};
+    peers_.onStarted(peer.control);
+    auto result = co_await client_.execute(call->key, target, passed, terms.deadline,
+                                           terms.idempotent, std::move(used));
+    peers_.onEnded(peer.control);
+    co_return result;
+}
+
 std::optional<CallerResponse> PeerRelay::takeResponse(const ForwardRequest &request,
                                                       const std::string &peer,
                                                       const state::AttemptResult &result)
--- a/forward/peer_relay.h
+++ b/forward/peer_relay.h
@@ -69,6 +69,10 @@
     /// @return the live hosts, at most MembersAge old: a copy for each request would be expensive
     ///         with many hosts.
     const std::vector<state::MemberState> &members();
+    /// Sends the request to one host.
+    boost::asio::awaitable<state::AttemptResult>
+    offer(std::shared_ptr<RelayCall> call, std::shared_ptr<const ForwardRequest> request,
+          state::MemberState peer, RelayTerms terms, std::shared_ptr<UsedConnections> used);
     /// @return the response if the host has given one.
     std::optional<CallerResponse> takeResponse(const ForwardRequest &request,
                                                const std::string &peer,
--- a/tests/forward/forwarder_fixture.h
+++ b/tests/forward/forwarder_fixture.h
@@ -1,25 +1,11 @@
 #pragma once
 
 #include "forward/forward.h"
+#include "tests/support/header_names.h"
 #include "tests/support/raw_http.h"
 
 namespace persimmon::tests {
 
-inline forward::HeaderNames makeNames()
-{
-    forward::HeaderNames names;
-    names.requestId = "X-Id";
-    names.timeLeft = "X-Left";
-    names.signature = "X-Sign";
-    names.expectedInstance = "X-Instance";
-    names.notExecuted = "X-Not-Run";
-    names.requestLimit = "X-Limit";
-    names.leaving = "X-Leaving";
-    names.partSignatures = "X-Parts";
-    names.missingParts = "X-Missing";
-    return names;
-}
-
 /// A host with one route to service "s", one to it that is not idempotent, and one that gathers
 /// shards "p0" and "p1".
 class ForwarderFixture
--- a/tests/host/host_group.cpp
+++ b/tests/host/host_group.cpp
@@ -1,6 +1,7 @@
 #include "tests/host/host_group.h"
 
 #include "tests/support/free_port.h"
+#include "tests/support/header_names.h"
 
 #include <atomic>
 #include <sstream>
@@ -68,21 +69,6 @@
     return config;
 }
 
-forward::HeaderNames makeHeaderNames()
-{
-    forward::HeaderNames names;
-    names.requestId = "X-Id";
-    names.timeLeft = "X-Left";
-    names.signature = "X-Sign";
-    names.expectedInstance = "X-Instance";
-    names.notExecuted = "X-Not-Run";
-    names.requestLimit = "X-Limit";
-    names.leaving = "X-Leaving";
-    names.partSignatures = "X-Parts";
-    names.missingParts = "X-Missing";
-    return names;
-}
-
 } // namespace
 
 struct HostGroup::Host
@@ -145,7 +131,7 @@
 host::HostHooks HostGroup::makeHooks(Host &host)
 {
     host::HostHooks hooks;
-    hooks.headerNames = makeHeaderNames();
+    hooks.headerNames = makeNames();
     hooks.store.readPage = [this](std::string /*after*/)
             -> asio::awaitable<Result<coordination::StorePage, coordination::StoreFailure>> {
         coordination::StorePage page;
