A host does not go back to an older configuration after it passed requests on

A host that lags behind could hand out the answer of a host with a newer configuration and answer the next request by its own older one: 404 for a route that its callers had just used, or the old service (CONFIG).

Cause: the passing host stated its version, the other one did not. Change: responses between hosts carry the version. A host that has seen a newer one asks no host with an older one, passes its own requests on and refuses those without a route (503) until it has the configuration, for 5 s at most, as a restore of the store may have lost it.

--- a/forward/peer_fields.h
+++ b/forward/peer_fields.h
@@ -9,7 +9,7 @@
 
 /// Milliseconds since the passing host received the request.
 inline constexpr std::string_view PeerAgeField = "Persimmon-Age-Ms";
-/// Version of the configuration that the passing host applied.
+/// Version of the configuration that the sending host applied, in requests and responses.
 inline constexpr std::string_view PeerConfigField = "Persimmon-Config";
 /// Present in a response if the host refused the request for a reason of its own, so that another
 /// host may serve it.
--- a/forward/peer_relay.cpp
+++ b/forward/peer_relay.cpp
@@ -3,6 +3,7 @@
 #include "forward/peer_fields.h"
 
 #include <algorithm>
+#include <charconv>
 #include <random>
 
 namespace asio = boost::asio;
@@ -48,14 +49,6 @@
     return boost::beast::iequals(field.name, {name.data(), name.size()});
 }
 
-/// @return whether the response is a refusal that leaves the request to another host.
-bool removeRefusal(CallerResponse &response)
-{
-    return std::erase_if(response.headers,
-                         [](const auto &field) { return hasName(field, PeerRefusalField); })
-           > 0;
-}
-
 } // namespace
 
 PeerRelay::PeerRelay(transport::Runtime &runtime, transport::Metrics &metrics,
@@ -99,9 +92,10 @@
         relayed.peer = peer->control;
         const auto result = co_await offer(call, request, *peer, terms, used);
         if (auto response = takeResponse(*request, peer->control, result)) {
-            const bool refused = removeRefusal(*response);
+            const auto remarks = takePeerRemarks(*response);
+            recordConfigVersion(remarks.configVersion);
             relayed.response = std::move(response);
-            if (!refused)
+            if (remarks.refusal.empty())
                 break;
             continue;
         }
@@ -113,6 +107,20 @@
     co_return relayed;
 }
 
+std::uint64_t PeerRelay::latestConfigVersion() const
+{
+    const bool isRecent = runtime_.clock().now() - configSeenAt_ < NewerConfigTime;
+    return isRecent ? latestConfigVersion_ : 0;
+}
+
+void PeerRelay::recordConfigVersion(std::uint64_t version)
+{
+    if (version < latestConfigVersion())
+        return;
+    latestConfigVersion_ = version;
+    configSeenAt_ = runtime_.clock().now();
+}
+
 asio::awaitable<state::AttemptResult>
 PeerRelay::offer(std::shared_ptr<RelayCall> call, std::shared_ptr<const ForwardRequest> request,
                  state::MemberState peer, RelayTerms terms, std::shared_ptr<UsedConnections> used)
@@ -120,7 +128,7 @@
     const auto age = std::chrono::floor<std::chrono::milliseconds>(runtime_.clock().now()
                                                                    - request->receivedAt);
     const auto passed = std::make_shared<ForwardRequest>(*request);
-    passed->passedOn = {age, terms.configVersion};
+    passed->passedOn = {age, std::max(terms.configVersion, latestConfigVersion())};
     protocol::HostRecord target;
     target.name = peer.control;
     target.address = peer.relay;
@@ -156,16 +164,34 @@
     client_.cancel(call.key);
 }
 
-void completePeerResponse(CallerResponse &response, const HeaderNames &names,
-                          const std::string &requestId, const std::string &refusal)
+void addPeerRemarks(CallerResponse &response, const HeaderNames &names,
+                    const std::string &requestId, const PeerRemarks &remarks)
 {
     const bool hasId =
             std::any_of(response.headers.begin(), response.headers.end(),
                         [&](const auto &field) { return hasName(field, names.requestId); });
     if (!hasId)
         response.headers.push_back({names.requestId, requestId});
-    if (!refusal.empty())
-        response.headers.push_back({std::string(PeerRefusalField), refusal});
+    response.headers.push_back(
+            {std::string(PeerConfigField), std::to_string(remarks.configVersion)});
+    if (!remarks.refusal.empty())
+        response.headers.push_back({std::string(PeerRefusalField), remarks.refusal});
+}
+
+PeerRemarks takePeerRemarks(CallerResponse &response)
+{
+    PeerRemarks remarks;
+    for (const auto &field : response.headers) {
+        const auto *begin = field.value.data();
+        if (hasName(field, PeerConfigField))
+            std::from_chars(begin, begin + field.value.size(), remarks.configVersion);
+        else if (hasName(field, PeerRefusalField))
+            remarks.refusal = field.value;
+    }
+    std::erase_if(response.headers, [](const auto &field) {
+        return hasName(field, PeerConfigField) || hasName(field, PeerRefusalField);
+    });
+    return remarks;
 }
 
 } // namespace persimmon::forward
--- a/forward/peer_relay.h
+++ b/forward/peer_relay.h
@@ -48,6 +48,9 @@
 public:
     /// Hosts that one request is offered to.
     static constexpr int MaxPeers = 3;
+    /// Time for which hosts that answer with a newer configuration are remembered. This host hears
+    /// of the configuration within it, unless it was lost with a restore of the store.
+    static constexpr std::chrono::seconds NewerConfigTime{5};
 
     /// @param members returns the live hosts, this one first.
     PeerRelay(transport::Runtime &runtime, transport::Metrics &metrics, const HeaderNames &names,
@@ -56,6 +59,9 @@
     /// @return whether a host can take requests for these regions; empty for all.
     bool hasPeer(const std::vector<std::string> &regions);
 
+    /// @return the latest version of the configuration with which hosts have answered recently.
+    std::uint64_t latestConfigVersion() const;
+
     /// Passes a request on to one host, and to others if it was certainly not executed there or may
     /// be executed again.
     boost::asio::awaitable<RelayResult> pass(std::shared_ptr<RelayCall> call,
@@ -69,6 +75,7 @@
     /// @return the live hosts, at most MembersAge old: a copy for each request would be expensive
     ///         with many hosts.
     const std::vector<state::MemberState> &members();
+    void recordConfigVersion(std::uint64_t version);
     /// Sends the request to one host.
     boost::asio::awaitable<state::AttemptResult>
     offer(std::shared_ptr<RelayCall> call, std::shared_ptr<const ForwardRequest> request,
@@ -86,11 +93,24 @@
     ForwardingClient client_;
     state::RelayPeers peers_;
     std::uint64_t callCount_ = 0;
+    std::uint64_t latestConfigVersion_ = 0;
+    transport::TimePoint configSeenAt_{};
+};
+
+/// What a host tells the passing host beside the response to a request that was passed on.
+struct PeerRemarks
+{
+    /// Version of the configuration that the host applied; 0 for none.
+    std::uint64_t configVersion = 0;
+    /// Why it cannot serve the request although another host may; empty otherwise.
+    std::string refusal;
 };
 
-/// Adds what the passing host needs to the response to a request that was passed on.
-/// @param refusal why this host cannot serve the request although another one may; empty otherwise.
-void completePeerResponse(CallerResponse &response, const HeaderNames &names,
-                          const std::string &requestId, const std::string &refusal);
+/// Adds the remarks to a response, and the id of the request if it lacks one.
+void addPeerRemarks(CallerResponse &response, const HeaderNames &names,
+                    const std::string &requestId, const PeerRemarks &remarks);
+
+/// @return the remarks, which are removed from the response.
+PeerRemarks takePeerRemarks(CallerResponse &response);
 
 } // namespace persimmon::forward
--- a/forward/request_forwarder.cpp
+++ b/forward/request_forwarder.cpp
@@ -60,8 +60,8 @@
     recordResult(context, reply);
     crashGate_.onFinished(*context.request, *context.trace);
     if (context.request->passedOn)
-        completePeerResponse(reply.response, options_.names, context.request->id,
-                             reply.hostRefusal);
+        addPeerRemarks(reply.response, options_.names, context.request->id,
+                       {context.routes ? context.routes->config().version : 0, reply.hostRefusal});
     co_return std::move(reply.response);
 }
 
@@ -73,6 +73,8 @@
     if (passedOn && context.routes->config().version < passedOn->configVersion)
         co_return refuseOnThisHost("older_configuration", DefaultRetryAfter);
     context.route = context.routes->find(context.request->host, context.request->target);
+    if (context.route == nullptr && isBehindPeers(context))
+        co_return refuseOnThisHost("older_configuration", DefaultRetryAfter);
     if (context.route == nullptr)
         co_return failCaller(NotFoundStatus, "no_route");
     transport::Duration time = context.route->timeout;
@@ -94,7 +96,7 @@
 asio::awaitable<CallerReply> RequestForwarder::serveActive(const RequestContext &context)
 {
     std::optional<CallerReply> reply;
-    const bool passesOn = !path_.shouldServe() && hasPeerFor(context);
+    const bool passesOn = (isBehindPeers(context) || !path_.shouldServe()) && hasPeerFor(context);
     if (!passesOn && path_.isLost())
         co_return refuseOnThisHost("no_path", state::UpstreamReachability::TrialInterval);
     if (!passesOn && context.route->isGather())
@@ -108,6 +110,12 @@
     co_return std::move(*reply);
 }
 
+bool RequestForwarder::isBehindPeers(const RequestContext &context) const
+{
+    return !context.request->passedOn
+           && context.routes->config().version < relay_.latestConfigVersion();
+}
+
 bool RequestForwarder::hasPeerFor(const RequestContext &context) const
 {
     return !context.request->passedOn && relay_.hasPeer(context.route->homeRegions);
--- a/forward/request_forwarder.h
+++ b/forward/request_forwarder.h
@@ -94,6 +94,9 @@
     /// Passes a request on to another host.
     /// @return std::nullopt if there is none.
     boost::asio::awaitable<std::optional<CallerReply>> serveByPeer(const RequestContext &context);
+    /// @return whether a host that answered in place of this one has a newer configuration. This
+    ///         host must not go back to its own one.
+    bool isBehindPeers(const RequestContext &context) const;
     /// @return whether another host can serve the request.
     bool hasPeerFor(const RequestContext &context) const;
     /// @return whether a request that waits for upstreams should be passed on, since this host has
--- a/tests/host/host_group.cpp
+++ b/tests/host/host_group.cpp
@@ -52,10 +52,10 @@
     return route;
 }
 
-state::RoutingConfig makeConfig()
+state::RoutingConfig makeConfig(bool older)
 {
     state::RoutingConfig config;
-    config.version = 1;
+    config.version = older ? 1 : 2;
     auto single = makeRoute("single", "/one/");
     single.targets = {{"pay", 1}};
     auto once = makeRoute("once", "/pay/");
@@ -66,6 +66,12 @@
     gather.gather.topRecords = 2;
     gather.gather.minFraction = 1;
     config.routes = {single, once, gather};
+    if (older)
+        return config;
+    auto added = single;
+    added.name = "added";
+    added.prefix = "/new/";
+    config.routes.push_back(added);
     return config;
 }
 
@@ -73,6 +79,7 @@
 
 struct HostGroup::Host
 {
+    int number = 0;
     host::HostOptions options;
     std::map<std::string, std::unique_ptr<FaultProxy>> proxies;
     std::unique_ptr<transport::Runtime> runtime = std::make_unique<transport::Runtime>(1);
@@ -80,7 +87,9 @@
     std::unique_ptr<host::HostDaemon> daemon;
 };
 
-HostGroup::HostGroup(int hostCount, RequestHandler handler) : handler_(std::move(handler))
+HostGroup::HostGroup(int hostCount, RequestHandler handler, int olderHost)
+    : handler_(std::move(handler)),
+      olderHost_(olderHost)
 {
     records_.push_back({ConfigKey, 1, ConfigKey});
     for (const auto &[id, service] : ServiceOf) {
@@ -103,6 +112,7 @@
 void HostGroup::startHost(int number, int hostCount)
 {
     auto host = std::make_unique<Host>();
+    host->number = number;
     auto &options = host->options;
     options.name = "host" + std::to_string(number);
     options.failureDomain = "z" + std::to_string(number);
@@ -151,9 +161,10 @@
     hooks.contentVersionOf = [](const state::StoreRecord & /*record*/) {
         return std::optional<state::ContentVersion>();
     };
-    hooks.decodeRecord = [&host](const state::StoreRecord &record) -> host::DecodedRecord {
+    const bool older = host.number == olderHost_;
+    hooks.decodeRecord = [&host, older](const state::StoreRecord &record) -> host::DecodedRecord {
         if (record.key == ConfigKey)
-            return makeConfig();
+            return makeConfig(older);
         state::UpstreamRecord upstream;
         upstream.id = record.key;
         upstream.service = *record.value;
--- a/tests/host/host_group.h
+++ b/tests/host/host_group.h
@@ -25,7 +25,9 @@
             std::function<RawResponse(const std::string &id, const std::string &request)>;
 
     /// @param handler replaces the default response of the upstreams if set.
-    explicit HostGroup(int hostCount, RequestHandler handler = {});
+    /// @param olderHost number of a host whose configuration has version 1 and lacks the route
+    ///        /new/; the others have version 2. 0 for none.
+    explicit HostGroup(int hostCount, RequestHandler handler = {}, int olderHost = 0);
     ~HostGroup();
     HostGroup(const HostGroup &) = delete;
     HostGroup &operator=(const HostGroup &) = delete;
@@ -79,6 +81,7 @@
     host::HostHooks makeHooks(Host &host);
 
     const RequestHandler handler_;
+    const int olderHost_;
     std::vector<state::StoreRecord> records_;
     mutable std::mutex mutex_;
     std::map<std::pair<std::string, std::string>, int> executions_;
--- a/tests/host/test_unreachable_upstreams.cpp
+++ b/tests/host/test_unreachable_upstreams.cpp
@@ -290,3 +290,23 @@
     for (const auto &caller : callers)
         CHECK(caller->failed() == 0);
 }
+
+// Guards against a host that goes back to its older configuration after it has handed out an answer
+// of a newer one.
+TEST_CASE("a host with an older configuration does not go back to it after it passed requests on")
+{
+    HostGroup group(HostCount, {}, CutHost);
+    waitUntilServing(group);
+    CHECK(statusOf(group.call(CutHost, "/new/1")) == 404);
+    const LoopingCaller caller(group, CutHost);
+    group.setPath(CutHost, ProxyMode::PartitionRefusing);
+    waitUntilPathLost(group, CutHost, true);
+    CHECK(statusOf(group.call(CutHost, "/one/1")) == 200);
+    CHECK(statusOf(group.call(CutHost, "/new/1")) == 503);
+    group.setPath(CutHost, ProxyMode::Pass);
+    waitUntilPathLost(group, CutHost, false);
+    std::this_thread::sleep_for(state::UpstreamReachability::RecoveryTime);
+    const auto passedOn = group.passedOnCount(CutHost);
+    CHECK(group.waitUntil([&] { return group.passedOnCount(CutHost) > passedOn; }));
+    CHECK(statusOf(group.call(CutHost, "/new/1")) == 503);
+}
