--- a/host/host_daemon.cpp
+++ b/host/host_daemon.cpp
@@ -395,6 +395,20 @@
     updateHostShare();
 }
 
+void HostDaemon::expireUpstreams(transport::TimePoint now)
+{
+    std::set<std::string> services;
+    for (const auto &expired : registry_.expire(now)) {
+        services.insert(expired.service);
+        const auto kept = std::chrono::round<std::chrono::milliseconds>(expired.keptFor);
+        transport::logInfo(Part, "removed upstream is no longer used",
+                           {{"upstream", expired.id},
+                            {"service", expired.service},
+                            {"kept_ms", std::to_string(kept.count())}});
+    }
+    services_.reconfigure(services);
+}
+
 asio::awaitable<void> HostDaemon::tick()
 {
     auto last = runtime_.clock().now();
@@ -416,7 +430,7 @@
         }
         bootClockOffset_ = offset;
         last = now;
-        services_.reconfigure(registry_.expire(now));
+        expireUpstreams(now);
         exchange_.expire();
         crashes_.expire(now);
         services_.restrictions().expire(now);
@@ -472,6 +486,9 @@
                    [this] { return static_cast<double>(crashes_.fingerprintCount()); });
     metrics_.gauge("persimmon_known_upstreams", "Registered upstreams.",
                    [this] { return static_cast<double>(registry_.size()); });
+    metrics_.gauge("persimmon_removed_upstreams",
+                   "Upstreams without a registration that are still used as a last resort.",
+                   [this] { return static_cast<double>(registry_.removedCount()); });
     metrics_.gauge("persimmon_store_revision", "Store revision up to which records are replicated.",
                    [this] { return static_cast<double>(follower_.mirror().position().revision); });
     metrics_.gauge("persimmon_store_era", "Era of the store whose records are replicated.",
--- a/host/host_daemon.h
+++ b/host/host_daemon.h
@@ -56,6 +56,7 @@
     void onUpstreamPathChanged();
     /// Opens the listener for requests that other hosts pass on. Without one, none are accepted.
     void listenForPeers();
+    void expireUpstreams(transport::TimePoint now);
     void updatePhase();
     void updateMembershipLoad();
     boost::asio::awaitable<void> tick();
--- a/state/upstream_registry.cpp
+++ b/state/upstream_registry.cpp
@@ -39,7 +39,7 @@
         idsOfService_[upstream.record.service].erase(record.id);
     }
     upstream.record = record;
-    upstream.removeAt.reset();
+    upstream.removedAt.reset();
     if (record.coldTimeLeft.count() > 0)
         upstream.coldUntil = now + record.coldTimeLeft + WarmUpMargin;
     idsOfService_[record.service].insert(record.id);
@@ -49,14 +49,14 @@
 std::set<std::string> UpstreamRegistry::remove(const std::string &id, TimePoint now)
 {
     const auto found = upstreams_.find(id);
-    if (found == upstreams_.end() || found->second.removeAt)
+    if (found == upstreams_.end() || found->second.removedAt)
         return {};
     const auto service = found->second.record.service;
     if (found->second.record.draining) {
         idsOfService_[service].erase(id);
         upstreams_.erase(found);
     } else {
-        found->second.removeAt = now + RemovalGracePeriod;
+        found->second.removedAt = now;
     }
     return {service};
 }
@@ -75,28 +75,25 @@
     return services;
 }
 
-std::set<std::string> UpstreamRegistry::expire(TimePoint now)
+std::vector<ExpiredUpstream> UpstreamRegistry::expire(TimePoint now)
 {
-    std::set<std::string> services;
+    std::vector<ExpiredUpstream> expired;
     std::erase_if(upstreams_, [&](const auto &entry) {
-        const auto &upstream = entry.second;
-        if (!upstream.removeAt || now < *upstream.removeAt)
+        const auto &[id, upstream] = entry;
+        if (!upstream.removedAt || now < *upstream.removedAt + RemovalGracePeriod)
             return false;
-        services.insert(upstream.record.service);
-        idsOfService_[upstream.record.service].erase(entry.first);
+        expired.push_back({id, upstream.record.service, now - *upstream.removedAt});
+        idsOfService_[upstream.record.service].erase(id);
         return true;
     });
-    return services;
+    return expired;
 }
 
-std::optional<TimePoint> UpstreamRegistry::nextExpiry() const
+std::size_t UpstreamRegistry::removedCount() const
 {
-    std::optional<TimePoint> next;
-    for (const auto &[id, upstream] : upstreams_) {
-        if (upstream.removeAt && (!next || *upstream.removeAt < *next))
-            next = upstream.removeAt;
-    }
-    return next;
+    return static_cast<std::size_t>(
+            std::count_if(upstreams_.begin(), upstreams_.end(),
+                          [](const auto &entry) { return entry.second.removedAt.has_value(); }));
 }
 
 bool UpstreamRegistry::isUsable(const Upstream &upstream) const
@@ -134,7 +131,7 @@
     traits.costFactor = regionOf(upstream.record) == share.region ? 1 : OtherRegionCostFactor;
     traits.coldUntil = upstream.coldUntil;
     traits.coldTime = info.coldTime;
-    traits.lastResort = upstream.removeAt.has_value();
+    traits.lastResort = upstream.removedAt.has_value();
     if (info.coldRate > 0)
         traits.coldRate = coldRateOf(upstream.record, info, share, limits);
     return traits;
--- a/state/upstream_registry.h
+++ b/state/upstream_registry.h
@@ -45,6 +45,17 @@
     bool operator==(const SharedLimits &) const = default;
 };
 
+/// Upstream that is no longer used after its registration was removed.
+struct ExpiredUpstream
+{
+    std::string id;
+    std::string service;
+    /// Time since this host heard of the removal.
+    Duration keptFor{};
+
+    bool operator==(const ExpiredUpstream &) const = default;
+};
+
 /// Registered upstreams, from which the scheduler settings of each service are computed.
 class UpstreamRegistry
 {
@@ -72,11 +83,11 @@
     std::set<std::string> setEvacuated(const std::string &domain, bool evacuated);
 
     /// Removes upstreams whose grace period is over.
-    /// @return the services whose settings changed.
-    std::set<std::string> expire(TimePoint now);
+    /// @return the removed upstreams.
+    std::vector<ExpiredUpstream> expire(TimePoint now);
 
-    /// @return the time at which expire() is due next; std::nullopt if no removal is pending.
-    std::optional<TimePoint> nextExpiry() const;
+    /// @return the number of removed upstreams in their grace period.
+    std::size_t removedCount() const;
 
     /// @param homeRegions regions that may be used; empty for all.
     /// @return the settings of the service's scheduler.
@@ -106,7 +117,8 @@
     {
         UpstreamRecord record;
         TimePoint coldUntil{};
-        std::optional<TimePoint> removeAt;
+        /// When this host heard of the removal of the registration.
+        std::optional<TimePoint> removedAt;
     };
 
     bool isUsable(const Upstream &upstream) const;
--- a/tests/state/test_upstream_registry.cpp
+++ b/tests/state/test_upstream_registry.cpp
@@ -89,10 +89,11 @@
     CHECK(names() == Names{"a", "b"});
     CHECK(settings().traits.at("a").lastResort);
     CHECK_FALSE(settings().traits.at("b").lastResort);
-    CHECK(registry.nextExpiry() == Start + UpstreamRegistry::RemovalGracePeriod);
+    CHECK(registry.removedCount() == 1);
     CHECK(registry.expire(Start + UpstreamRegistry::RemovalGracePeriod - milliseconds(1)).empty());
     CHECK(registry.expire(Start + UpstreamRegistry::RemovalGracePeriod)
-          == std::set<std::string>{"s"});
+          == std::vector<ExpiredUpstream>{{"a", "s", UpstreamRegistry::RemovalGracePeriod}});
+    CHECK(registry.removedCount() == 0);
     CHECK(names() == Names{"b"});
     // An upstream that registers again within the grace period is used as before.
     registry.remove("b", Start);
