Failing test: a removed upstream is used too long while hosts that others follow stand still

Six hosts in three regions with real processes; two readers of the store are stopped, then the only upstream of a service is removed.

--- a/tests/system/platform_cluster.cpp
+++ b/tests/system/platform_cluster.cpp
@@ -90,10 +90,12 @@
     std::string extraSeeds;
     for (const auto &address : options_.extraSeeds)
         extraSeeds += ", \"" + address + "\"";
+    const auto zone = std::to_string(1 + (host - 1) % ZoneCount);
     std::ofstream file(settingsPath(host));
-    file << "node_name: host" << host << "\nzone: z" << 1 + (host - 1) % ZoneCount
-         << "\nregion: r\n"
-         << "zones: {z1: r, z2: r, z3: r}\nlisten_addrs:\n"
+    file << "node_name: host" << host << "\nzone: z" << zone << "\nregion: r"
+         << (options_.hasRegions ? zone + "\nzones: {z1: r1, z2: r2, z3: r3}"
+                                 : "\nzones: {z1: r, z2: r, z3: r}")
+         << "\nlisten_addrs:\n"
          << "  front: " << loopbackAddress(ports.front)
          << "\n  directory: " << loopbackAddress(ports.directory)
          << "\n  ready_addr: " << loopbackAddress(ports.ready)
--- a/tests/system/platform_cluster.h
+++ b/tests/system/platform_cluster.h
@@ -31,6 +31,8 @@
     int hostCount = DefaultHostCount;
     /// Failure domain of each upstream, by id; z1 for others.
     std::map<std::string, std::string> failureDomainOf = {};
+    /// Whether each failure domain is a region of its own; otherwise there is one region.
+    bool hasRegions = false;
     /// Time that upstreams take for the default response of PlatformCluster.
     std::chrono::milliseconds responseTime{5};
     /// Replaces the default response of PlatformCluster if set.
--- /dev/null
+++ b/tests/system/test_late_news.cpp
@@ -0,0 +1,167 @@
+#include "tests/system/platform_checks.h"
+
+#include <algorithm>
+#include <csignal>
+#include <set>
+#include <sstream>
+#include <thread>
+#include <vector>
+
+using namespace persimmon::tests;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+/// Two hosts in each of three regions: one reads the store, the other one follows it.
+constexpr int HostCount = 6;
+constexpr int RegionCount = 3;
+constexpr const char *Removed = "p1";
+/// Time after the store has accepted a removal from which the upstream may get no request.
+constexpr milliseconds DrainTime{3000};
+/// Time for which hosts stand still. Shorter than the time after which hosts count as dead.
+constexpr milliseconds FreezeTime{3400};
+constexpr milliseconds FreezeLead{100};
+/// Time after which hosts that stood still are in touch again.
+constexpr seconds ContactTime{4};
+constexpr milliseconds RequestInterval{20};
+/// Longer than the time between two calls of a host that reads the store.
+constexpr milliseconds ReaderProbeTime{2500};
+
+PlatformClusterOptions makeOptions()
+{
+    PlatformClusterOptions options;
+    options.hostCount = HostCount;
+    options.hasRegions = true;
+    options.serviceOf = {{"a1", "shard-a"}, {"b1", "shard-b"}, {Removed, "pay"}};
+    return options;
+}
+
+/// Requests to one service from all hosts, and when they reached its only upstream.
+class ArrivalRecorder
+{
+public:
+    ArrivalRecorder() : cluster_(withHandler(makeOptions()))
+    {
+        for (int host = 1; host <= HostCount; ++host)
+            REQUIRE_MESSAGE(cluster_.waitUntilReady(host), cluster_.lastLogLine(host));
+        REQUIRE(cluster_.waitUntil([&] {
+            for (int host = 1; host <= HostCount; ++host) {
+                if (metricOf(host, "persimmon_live_hosts") != HostCount)
+                    return false;
+            }
+            return true;
+        }));
+    }
+
+    PlatformCluster &cluster() { return cluster_; }
+
+    double metricOf(int host, const std::string &name) const
+    {
+        std::istringstream lines(cluster_.metrics(host));
+        for (std::string line; std::getline(lines, line);) {
+            if (line.starts_with(name + " "))
+                return std::stod(line.substr(name.size()));
+        }
+        return 0;
+    }
+
+    /// @return the hosts that read the store themselves.
+    std::vector<int> readers() const
+    {
+        std::map<int, double> before;
+        for (int host = 1; host <= HostCount; ++host)
+            before[host] = metricOf(host, "persimmon_store_calls_total");
+        std::this_thread::sleep_for(ReaderProbeTime);
+        std::vector<int> readers;
+        for (int host = 1; host <= HostCount; ++host) {
+            if (metricOf(host, "persimmon_store_calls_total") > before.at(host))
+                readers.push_back(host);
+        }
+        return readers;
+    }
+
+    /// Sends requests from all hosts but @p silent until @p end.
+    void callUntil(Clock::time_point end, const std::set<int> &silent)
+    {
+        std::vector<std::thread> callers;
+        for (int host = 1; host <= HostCount; ++host) {
+            if (silent.contains(host))
+                continue;
+            callers.emplace_back([this, host, end] {
+                while (Clock::now() < end) {
+                    cluster_.call(host, "/one/q");
+                    std::this_thread::sleep_for(RequestInterval);
+                }
+            });
+        }
+        for (auto &caller : callers)
+            caller.join();
+    }
+
+    /// @return the age of the last arrival that came later than DrainTime after @p removedAt, or 0.
+    milliseconds latestAfter(Clock::time_point removedAt)
+    {
+        const std::lock_guard lock(mutex_);
+        milliseconds latest{0};
+        for (const auto &at : arrivals_) {
+            const auto age = std::chrono::floor<milliseconds>(at - removedAt);
+            if (age > DrainTime)
+                latest = std::max(latest, age);
+        }
+        return latest;
+    }
+
+private:
+    PlatformClusterOptions withHandler(PlatformClusterOptions options)
+    {
+        options.requestHandler = [this](const std::string & /*id*/, const std::string &request) {
+            {
+                const std::lock_guard lock(mutex_);
+                arrivals_.push_back(Clock::now());
+            }
+            const auto fields = "X-Response-Stamp: s\r\nX-Request-Id: "
+                                + fieldOf(request, "X-Request-Id") + "\r\n";
+            return RawResponse{makeResponse("body", "", fields)};
+        };
+        return options;
+    }
+
+    std::mutex mutex_;
+    std::vector<Clock::time_point> arrivals_;
+    PlatformCluster cluster_;
+};
+
+} // namespace
+
+// Guards against hosts that count the time for which they keep a removed upstream from the moment
+// at which they hear of the removal, however late that is.
+TEST_CASE("a removed upstream is left in time although the hosts that others follow stand still")
+{
+    constexpr int Rounds = 3;
+    ArrivalRecorder recorder;
+    auto &cluster = recorder.cluster();
+    for (int round = 0; round < Rounds; ++round) {
+        const auto readers = recorder.readers();
+        REQUIRE(readers.size() >= RegionCount);
+        const std::set<int> frozen{readers[static_cast<std::size_t>(round) % readers.size()],
+                                   readers[static_cast<std::size_t>(round + 1) % readers.size()]};
+        for (const int host : frozen)
+            cluster.process(host).signal(SIGSTOP);
+        std::this_thread::sleep_for(FreezeLead);
+        const auto removedAt = Clock::now();
+        cluster.deregisterUpstream(Removed);
+        recorder.callUntil(removedAt + FreezeTime, frozen);
+        const auto latest = recorder.latestAfter(removedAt);
+        CHECK_MESSAGE(latest == milliseconds(0), "round " << round << ": " << latest.count());
+        for (const int host : frozen)
+            cluster.process(host).signal(SIGCONT);
+        std::this_thread::sleep_for(ContactTime);
+        cluster.registerRestart(Removed);
+        for (int host = 1; host <= HostCount; ++host)
+            REQUIRE(cluster.waitUntil(
+                    [&] { return statusOf(cluster.call(host, "/one/q")) == 200; }));
+    }
+}
