--- a/coordination/peer_exchange.cpp
+++ b/coordination/peer_exchange.cpp
@@ -29,15 +29,6 @@
 /// Time for which a record that a peer already holds may still arrive by the own watch.
 constexpr std::chrono::milliseconds PullDelay{300};
 
-/// @return the records of a reply, empty if there are none, or StoreFailure::Malformed.
-Result<state::RecordDelta, StoreFailure> decodeDelta(const std::string &body)
-{
-    auto message = decodePeerMessage(body);
-    if (!isOk(message))
-        return StoreFailure::Malformed;
-    return valueOf(message).delta.value_or(state::RecordDelta{});
-}
-
 } // namespace
 
 PeerExchange::PeerExchange(transport::Runtime &runtime, state::EntryMembership &membership,
@@ -118,10 +109,15 @@
     PeerMessage query;
     query.position = after;
     transport::HttpRequest request("POST", WatchTarget, encodePeerMessage(query));
+    const auto sentAt = runtime_.clock().now();
     const auto response = co_await connection->send(std::move(request), wait + ExchangeTimeout);
     if (!isOk(response))
         co_return StoreFailure::Unavailable;
-    co_return decodeDelta(valueOf(response).body);
+    const auto reply = decodePeerMessage(valueOf(response).body);
+    if (!isOk(reply))
+        co_return StoreFailure::Malformed;
+    mergeStoreAnswers(valueOf(reply), sentAt);
+    co_return valueOf(reply).delta.value_or(state::RecordDelta{});
 }
 
 void PeerExchange::resetPeerWatch()
@@ -145,7 +141,7 @@
         co_await watcher->waitUntil(until);
     watchers_.erase(watcher);
     PeerMessage reply;
-    addMirrorState(reply);
+    addStoreState(reply);
     if (reply.position > after)
         reply.delta = follower_.mirror().deltaSince(after);
     co_return transport::HttpResponse(200, encodePeerMessage(reply));
@@ -191,10 +187,11 @@
         }
     }
     auto query = gossip_.makeRequest(peer);
-    addMirrorState(query);
+    addStoreState(query);
     sharedState_.addTo(query, false);
     query.wantsRecords = follower_.needsPeerRecords() && mayRequestRecords(peer);
     transport::HttpRequest request("POST", ExchangeTarget, encodePeerMessage(query));
+    const auto sentAt = runtime_.clock().now();
     const auto response = co_await state->connection->send(std::move(request), ExchangeTimeout);
     if (!isOk(response)) {
         recordFailure(peer, *state, errorOf(response).message);
@@ -208,6 +205,7 @@
     if (state->failures > 0)
         transport::logInfo(Part, "exchange with peer succeeds again", {{"host", peer}});
     state->failures = 0;
+    mergeStoreAnswers(valueOf(message), sentAt);
     applyMessage(valueOf(message));
     gossip_.onReply(valueOf(message));
     co_return true;
@@ -237,7 +235,7 @@
     const auto &message = valueOf(decoded);
     applyMessage(message);
     auto reply = gossip_.makeReply(message);
-    addMirrorState(reply);
+    addStoreState(reply);
     sharedState_.addTo(reply, message.wantsMembers);
     if (message.wantsRecords && reply.position > message.position)
         reply.delta = follower_.mirror().deltaSince(message.position);
@@ -284,10 +282,30 @@
         runtime_.spawn(exchangeWith(neighbour));
 }
 
-void PeerExchange::addMirrorState(PeerMessage &message) const
+void PeerExchange::addStoreState(PeerMessage &message) const
 {
     message.position = follower_.mirror().position();
     message.isReconciled = follower_.mirror().isReconciled();
+    const auto &period = follower_.availability().period();
+    if (!period)
+        return;
+    const auto now = runtime_.clock().now();
+    const auto ageOf = [now](transport::TimePoint time) {
+        return std::chrono::ceil<std::chrono::milliseconds>(now - time);
+    };
+    message.storeAnswers = {period->era, ageOf(period->since), ageOf(period->until)};
+}
+
+void PeerExchange::mergeStoreAnswers(const PeerMessage &reply, transport::TimePoint sentAt)
+{
+    const auto &ages = reply.storeAnswers;
+    if (!ages) {
+        if (reply.delta)
+            follower_.resetAvailability();
+        return;
+    }
+    const auto since = runtime_.clock().now() - ages->since;
+    follower_.mergeAvailability({ages->era, since, std::max(since, sentAt - ages->last)});
 }
 
 } // namespace persimmon::coordination
--- a/coordination/peer_exchange.h
+++ b/coordination/peer_exchange.h
@@ -83,7 +83,14 @@
     /// Requests the records up to @p position from @p peer unless they arrive otherwise first, and
     /// passes them on.
     boost::asio::awaitable<void> pullRecords(std::string peer, state::StorePosition position);
-    void addMirrorState(PeerMessage &message) const;
+    /// Adds what this host knows of the store.
+    void addStoreState(PeerMessage &message) const;
+    /// Merges what the sender of a reply knows of the store's answers. Must be called before the
+    /// records of the reply are applied.
+    /// @param sentAt when this host sent the request. The reply was written later than that; when
+    /// is
+    ///        unknown if this process has stood still since.
+    void mergeStoreAnswers(const PeerMessage &reply, transport::TimePoint sentAt);
     void recordFailure(const std::string &peer, PeerState &state, const std::string &reason);
 
     transport::Runtime &runtime_;
--- a/coordination/peer_message.cpp
+++ b/coordination/peer_message.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/json.hpp>
 
+#include <algorithm>
+
 namespace json = boost::json;
 
 namespace persimmon::coordination {
@@ -13,6 +15,8 @@
 constexpr const char *Part = "peers";
 /// Larger than the limit of any upstream, in requests per second.
 constexpr double MaxRequestLimit = 1e9;
+/// Longer ages of the store's answers are sent as this age, which makes no difference.
+constexpr std::chrono::milliseconds MaxAnswerAge{std::chrono::hours(1)};
 
 /// Array positions of the columns of a member state.
 enum MemberColumn {
@@ -130,6 +134,23 @@
     return report;
 }
 
+/// @param columns era, and the ages of the first and the last answer.
+StoreAnswerAges readStoreAnswers(const json::array &columns)
+{
+    const StoreAnswerAges ages{columns.at(0).to_number<std::uint64_t>(),
+                               std::chrono::milliseconds(columns.at(1).to_number<std::int64_t>()),
+                               std::chrono::milliseconds(columns.at(2).to_number<std::int64_t>())};
+    if (ages.last.count() < 0 || ages.since < ages.last || ages.since > MaxAnswerAge)
+        throw std::invalid_argument("an age of the store's answers is out of range");
+    return ages;
+}
+
+json::array writeStoreAnswers(const StoreAnswerAges &ages)
+{
+    return {ages.era, std::min(ages.since, MaxAnswerAge).count(),
+            std::min(ages.last, MaxAnswerAge).count()};
+}
+
 /// Reads the rows of a list. One that can't be read is left out and logged.
 template <typename Row>
 std::vector<Row> readRows(const json::array &list, Row (*read)(const json::array &))
@@ -223,6 +244,8 @@
                         {"revision", message.position.revision}};
     if (message.isReconciled)
         object["reconciled"] = true;
+    if (message.storeAnswers)
+        object["answers"] = json::array{writeStoreAnswers(*message.storeAnswers)};
     if (message.wantsMembers)
         object["wants_rows"] = true;
     if (message.wantsRecords)
@@ -263,6 +286,11 @@
         if (!members.empty())
             readMember(members.front().as_array());
         message.members = readRows(members, readMember);
+        if (const auto *answers = object.if_contains("answers")) {
+            const auto rows = readRows(answers->as_array(), readStoreAnswers);
+            if (!rows.empty())
+                message.storeAnswers = rows.front();
+        }
         if (const auto *crashes = object.if_contains("crashes"))
             message.crashReports = readCrashReports(crashes->as_array());
         if (const auto *restrictions = object.if_contains("restrictions"))
--- a/coordination/peer_message.h
+++ b/coordination/peer_message.h
@@ -6,12 +6,25 @@
 #include "state/record_mirror.h"
 #include "state/upstream_restrictions.h"
 
+#include <chrono>
 #include <optional>
 #include <string>
 #include <vector>
 
 namespace persimmon::coordination {
 
+/// What a host knows of the store's answers, as times before the message.
+struct StoreAnswerAges
+{
+    std::uint64_t era = 0;
+    /// Age of state::AnsweringPeriod::since.
+    std::chrono::milliseconds since{0};
+    /// Age of the last known answer.
+    std::chrono::milliseconds last{0};
+
+    bool operator==(const StoreAnswerAges &) const = default;
+};
+
 /// Request or reply exchanged between two hosts.
 struct PeerMessage
 {
@@ -25,6 +38,8 @@
     state::StorePosition position;
     /// Whether the sender's record mirror is reconciled with the era of the store.
     bool isReconciled = false;
+    /// Hosts of earlier versions leave it out.
+    std::optional<StoreAnswerAges> storeAnswers;
     /// Whether the sender requests the states of all members.
     bool wantsMembers = false;
     /// Whether the sender requests the records after its position.
--- a/coordination/record_follower.cpp
+++ b/coordination/record_follower.cpp
@@ -45,7 +45,8 @@
       peers_(std::move(peers)),
       options_(std::move(options)),
       onChange_(std::move(onChange)),
-      mirror_(options_.contentVersionOf)
+      mirror_(options_.contentVersionOf),
+      availability_(options_.harmlessOutage)
 {
 }
 
@@ -120,7 +121,9 @@
     state::StorePosition asOf;
     std::string after;
     bool more = true;
+    transport::TimePoint sentAt;
     while (more) {
+        sentAt = runtime_.clock().now();
         auto result = co_await store_.readPage(after);
         if (!isOk(result)) {
             setConnected(false, errorOf(result));
@@ -151,7 +154,7 @@
     needsSnapshot_ = false;
     const auto changes = mirror_.applySnapshot(items, asOf);
     setConnected(true, StoreFailure::Unavailable);
-    storeAnsweredAt_ = runtime_.clock().now();
+    onStoreAnswer(asOf, sentAt, std::chrono::milliseconds(0));
     log(transport::LogLevel::Info, "loaded store snapshot",
         {{"records", std::to_string(items.size())}, {"news", std::to_string(changes.size())}});
     onMirrorUpdated();
@@ -163,6 +166,7 @@
 {
     const auto wait = connected_ ? WatchTimeout : FirstWatchTimeout;
     const auto after = mirror_.position();
+    const auto sentAt = runtime_.clock().now();
     auto result = co_await store_.watch(after.revision, wait);
     if (!isOk(result)) {
         needsSnapshot_ = errorOf(result) == StoreFailure::HistoryGone;
@@ -180,7 +184,7 @@
             {{"store_era", std::to_string(update.asOf.era)}});
         co_return true;
     }
-    storeAnsweredAt_ = runtime_.clock().now();
+    onStoreAnswer(update.asOf, sentAt, wait);
     const auto changes = mirror_.apply(update.records, update.asOf);
     onMirrorUpdated();
     if (!changes.empty())
@@ -188,6 +192,16 @@
     co_return true;
 }
 
+void RecordFollower::onStoreAnswer(const state::StorePosition &asOf, transport::TimePoint sentAt,
+                                   std::chrono::milliseconds wait)
+{
+    storeAnsweredAt_ = runtime_.clock().now();
+    if (!availability_.onAnswer(asOf.era, sentAt, wait, storeAnsweredAt_))
+        return;
+    log(transport::LogLevel::Info, "store answers again; asking peers whether it had an outage");
+    peers_.onStoreReturn();
+}
+
 void RecordFollower::onMirrorUpdated()
 {
     const auto &position = mirror_.position();
--- a/coordination/record_follower.h
+++ b/coordination/record_follower.h
@@ -3,6 +3,7 @@
 #include "coordination/coordination_error.h"
 #include "state/entry_membership.h"
 #include "state/record_mirror.h"
+#include "state/store_availability.h"
 #include "transport/transport.h"
 
 #include <functional>
@@ -68,6 +69,8 @@
     std::function<void()> reset;
     /// Called when isStoreUnreachable() may have changed.
     std::function<void()> onStoreReachabilityChange;
+    /// Called when the store answers this host again and peers may know that it had no outage.
+    std::function<void()> onStoreReturn = [] {};
 };
 
 /// Settings of RecordFollower.
@@ -76,6 +79,8 @@
     /// Time after the first read of a new era of the store in which the operator and the live
     /// upstreams write again what a restore has lost, and the registrations of dead ones expire.
     std::chrono::milliseconds reconcileTime{4500};
+    /// Longest outage of the store in which no registration of a live upstream expires.
+    std::chrono::milliseconds harmlessOutage{state::StoreAvailability::HarmlessOutage};
     /// Orders values across eras of the store; see state::RecordMirror.
     state::ContentVersionOf contentVersionOf = [](const state::StoreRecord & /*record*/) {
         return std::optional<state::ContentVersion>();
@@ -118,6 +123,16 @@
 
     const state::RecordMirror &mirror() const { return mirror_; }
 
+    /// @return when the store is known to have answered this host or a peer.
+    const state::StoreAvailability &availability() const { return availability_; }
+
+    /// Adds what a peer knows of the store's answers.
+    void mergeAvailability(const state::AnsweringPeriod &period) { availability_.merge(period); }
+
+    /// Forgets when the store answered, after this process was suspended or has received records
+    /// from a peer that doesn't tell.
+    void resetAvailability() { availability_.reset(); }
+
 private:
     boost::asio::awaitable<void> run();
     boost::asio::awaitable<bool> readSnapshot();
@@ -127,6 +142,9 @@
     void reconcile();
     /// Logs a new era of the store and schedules the reconciliation.
     void onMirrorUpdated();
+    /// Records an answer of the store to a call that was sent at @p sentAt and held for @p wait.
+    void onStoreAnswer(const state::StorePosition &asOf, transport::TimePoint sentAt,
+                       std::chrono::milliseconds wait);
     void setConnected(bool connected, StoreFailure reason);
     void disconnectStore();
     /// Logs a message with the position of the mirror.
@@ -139,6 +157,7 @@
     const RecordFollowerOptions options_;
     const OnChange onChange_;
     state::RecordMirror mirror_;
+    state::StoreAvailability availability_;
     /// Last era of the mirror that onMirrorUpdated() has handled.
     std::uint64_t era_ = 0;
     /// Time of the last answer of the store that the mirror has applied.
--- a/host/host_daemon.cpp
+++ b/host/host_daemon.cpp
@@ -91,8 +91,9 @@
                         std::chrono::milliseconds wait) {
                      return exchange_.watchPeer(std::move(peer), after, wait);
                  },
-                 [this] { exchange_.resetPeerWatch(); }, [this] { updateStoreReachability(); }},
-                {options_.reconcileTime, hooks_.contentVersionOf},
+                 [this] { exchange_.resetPeerWatch(); }, [this] { updateStoreReachability(); },
+                 [this] { exchange_.announce(); }},
+                {options_.reconcileTime, options_.harmlessOutage, hooks_.contentVersionOf},
                 [this](const auto &records) { onRecordsChanged(records); }),
       exchange_(runtime, membership_, follower_,
                 [this] {
@@ -281,12 +282,13 @@
     forwardingClient_.closeIdleTo(removed.id);
     const auto now = runtime_.clock().now();
     services_.restrictions().onUnregistered(removed.id, now);
-    const auto services = registry_.remove(removed.id, now);
+    const auto services = registry_.remove(removed.id, now, follower_.availability());
     if (services.empty())
         return;
     transport::logInfo(Part, "upstream removed",
                        {{"upstream", removed.id},
                         {"service", *services.begin()},
+                        {"last_resort", registry_.isKept(removed.id) ? "yes" : "no"},
                         {"era", std::to_string(follower_.mirror().position().era)},
                         {"revision", std::to_string(follower_.mirror().position().revision)}});
     changedServices.insert(services.begin(), services.end());
@@ -398,7 +400,7 @@
 void HostDaemon::expireUpstreams(transport::TimePoint now)
 {
     std::set<std::string> services;
-    for (const auto &expired : registry_.expire(now)) {
+    for (const auto &expired : registry_.expire(now, follower_.availability())) {
         services.insert(expired.service);
         const auto kept = std::chrono::round<std::chrono::milliseconds>(expired.keptFor);
         transport::logInfo(Part, "removed upstream is no longer used",
@@ -427,6 +429,7 @@
             forwardingClient_.closeIdle();
             hooks_.store.reset();
             membership_.onPause(now);
+            follower_.resetAvailability();
         }
         bootClockOffset_ = offset;
         last = now;
--- a/state/state.h
+++ b/state/state.h
@@ -36,6 +36,7 @@
 #include "state/service_scheduler.h"
 #include "state/service_timing.h"
 #include "state/snapshot_token.h"
+#include "state/store_availability.h"
 #include "state/timer_queue.h"
 #include "state/timing_registry.h"
 #include "state/token_bucket.h"
--- a/state/upstream_registry.cpp
+++ b/state/upstream_registry.cpp
@@ -46,17 +46,24 @@
     return changed;
 }
 
-std::set<std::string> UpstreamRegistry::remove(const std::string &id, TimePoint now)
+bool UpstreamRegistry::isGraceOver(const Upstream &upstream, TimePoint now,
+                                   const StoreAvailability &store)
+{
+    const auto heardAt = upstream.removedAt;
+    return heardAt && now >= store.answeringSince(*heardAt) + RemovalGracePeriod;
+}
+
+std::set<std::string> UpstreamRegistry::remove(const std::string &id, TimePoint now,
+                                               const StoreAvailability &store)
 {
     const auto found = upstreams_.find(id);
     if (found == upstreams_.end() || found->second.removedAt)
         return {};
     const auto service = found->second.record.service;
-    if (found->second.record.draining) {
+    found->second.removedAt = now;
+    if (found->second.record.draining || isGraceOver(found->second, now, store)) {
         idsOfService_[service].erase(id);
         upstreams_.erase(found);
-    } else {
-        found->second.removedAt = now;
     }
     return {service};
 }
@@ -75,12 +82,12 @@
     return services;
 }
 
-std::vector<ExpiredUpstream> UpstreamRegistry::expire(TimePoint now)
+std::vector<ExpiredUpstream> UpstreamRegistry::expire(TimePoint now, const StoreAvailability &store)
 {
     std::vector<ExpiredUpstream> expired;
     std::erase_if(upstreams_, [&](const auto &entry) {
         const auto &[id, upstream] = entry;
-        if (!upstream.removedAt || now < *upstream.removedAt + RemovalGracePeriod)
+        if (!isGraceOver(upstream, now, store))
             return false;
         expired.push_back({id, upstream.record.service, now - *upstream.removedAt});
         idsOfService_[upstream.record.service].erase(id);
--- a/state/upstream_registry.h
+++ b/state/upstream_registry.h
@@ -3,6 +3,7 @@
 #include "state/host_share.h"
 #include "state/replica_set.h"
 #include "state/routing_config.h"
+#include "state/store_availability.h"
 
 #include <cstdint>
 #include <map>
@@ -60,9 +61,10 @@
 class UpstreamRegistry
 {
 public:
-    /// Time for which an upstream whose record was removed without draining stays usable as a last
-    /// resort: records expire during an outage of the store and reappear within two seconds of its
-    /// end.
+    /// Time after the store answers again for which an upstream whose record is removed without
+    /// draining stays usable as a last resort: records expire during an outage of the store and
+    /// reappear within two seconds of its end. The record of an upstream that is removed while the
+    /// store answers does not return.
     static constexpr std::chrono::milliseconds RemovalGracePeriod{2200};
 
     explicit UpstreamRegistry(std::map<std::string, std::string> regionOfDomain)
@@ -75,16 +77,22 @@
     std::set<std::string> update(const UpstreamRecord &record, TimePoint now);
 
     /// Handles the removal of a record, or a record that cannot be decoded.
+    /// @param store what is known of the store's outages at @p now.
     /// @return the services whose settings changed.
-    std::set<std::string> remove(const std::string &id, TimePoint now);
+    std::set<std::string> remove(const std::string &id, TimePoint now,
+                                 const StoreAvailability &store);
 
     /// Takes a failure domain out of service or returns it to service.
     /// @return the services whose settings changed.
     std::set<std::string> setEvacuated(const std::string &domain, bool evacuated);
 
-    /// Removes upstreams whose grace period is over.
+    /// Removes upstreams whose grace period is over. That may be earlier than expected at the
+    /// removal, if it has become known since that the store had no outage.
     /// @return the removed upstreams.
-    std::vector<ExpiredUpstream> expire(TimePoint now);
+    std::vector<ExpiredUpstream> expire(TimePoint now, const StoreAvailability &store);
+
+    /// @return whether an upstream is still known, after its removal as a last resort.
+    bool isKept(const std::string &id) const { return upstreams_.contains(id); }
 
     /// @return the number of removed upstreams in their grace period.
     std::size_t removedCount() const;
@@ -122,6 +130,8 @@
     };
 
     bool isUsable(const Upstream &upstream) const;
+    static bool isGraceOver(const Upstream &upstream, TimePoint now,
+                            const StoreAvailability &store);
     static protocol::HostRecord toHostRecord(const UpstreamRecord &record);
     const std::string &regionOf(const UpstreamRecord &record) const;
     static std::uint32_t coldRateOf(const UpstreamRecord &record, const ServiceInfo &info,
--- a/tests/coordination/follower_fixture.h
+++ b/tests/coordination/follower_fixture.h
@@ -82,6 +82,8 @@
     int reads = 0;
     int watches = 0;
     int gone = 0;
+    /// Calls of PeerHooks::onStoreReturn.
+    int returns = 0;
     std::map<std::string, std::string> shown;
 
 private:
@@ -115,7 +117,7 @@
                 [this](std::string, StorePosition after, std::chrono::milliseconds) {
                     return watchPeer(after);
                 },
-                [] {}, [] {}};
+                [] {}, [] {}, [this] { ++returns; }};
     }
 
     boost::asio::awaitable<Result<StorePage, StoreFailure>> readPage(std::string after)
--- a/tests/coordination/test_peer_message.cpp
+++ b/tests/coordination/test_peer_message.cpp
@@ -32,6 +32,7 @@
     message.digest = ~0ULL;
     message.position = {3, 42};
     message.isReconciled = true;
+    message.storeAnswers = {3, std::chrono::milliseconds(3'600'000), std::chrono::milliseconds(0)};
     message.wantsRecords = true;
     message.restrictions = {{"u1", ~0ULL, 7, 0.8, false}, {"u2", 1, ~0U, 0, true}};
     message.crashReports = {{~0ULL, 1, ~0ULL, false, true, std::chrono::seconds(3600)},
@@ -57,6 +58,24 @@
     CHECK(valueOf(decoded) == message);
 }
 
+// Guards against a message that is lost, and against a wrong outage, for odd ages of the store's
+// answers.
+TEST_CASE("odd ages of the store's answers are left out of a peer message")
+{
+    const auto text = encodePeerMessage(makeMessage());
+    const std::string written = R"("answers":[[3,3600000,0]])";
+    REQUIRE(text.find(written) != std::string::npos);
+    for (const std::string odd : {"[]", "[[]]", "[7]", "[[3,-1,-1]]", "[[3,5,6]]", "[[3,1e300,0]]",
+                                  "[[3,3600001,0]]", "[[-3,5,0]]", R"([["3",5,0]])"}) {
+        auto other = text;
+        other.replace(text.find(written), written.size(), "\"answers\":" + odd);
+        const auto decoded = decodePeerMessage(other);
+        REQUIRE_MESSAGE(isOk(decoded), odd);
+        CHECK_FALSE(valueOf(decoded).storeAnswers);
+        CHECK(valueOf(decoded).members == makeMessage().members);
+    }
+}
+
 // Guards against a peer that takes the records of one era, or what is known of deletions, for those
 // of another.
 TEST_CASE("records of other eras and deleted writes keep their order in a peer message")
--- a/tests/coordination/test_record_follower.cpp
+++ b/tests/coordination/test_record_follower.cpp
@@ -294,3 +294,25 @@
     }
     CHECK(fixture.shown == Loaded);
 }
+
+// Guards against an outage that looks like a store that answers, and the reverse.
+TEST_CASE("a follower knows whether the store had an outage in which registrations expire")
+{
+    FollowerFixture fixture;
+    load(fixture);
+    const auto since = fixture.follower().availability().period()->since;
+    const auto isOutage = [&](std::chrono::milliseconds time) {
+        fixture.write("config", "11");
+        fixture.advance(50ms);
+        fixture.isAway = true;
+        fixture.advance(time);
+        fixture.isAway = false;
+        fixture.advance(3s);
+        return fixture.follower().availability().period()->since > since;
+    };
+    CHECK_FALSE(isOutage(0ms));
+    CHECK_FALSE(isOutage(300ms));
+    CHECK(fixture.returns == 0);
+    CHECK(isOutage(4s));
+    CHECK(fixture.returns == 1);
+}
--- a/tests/platform/test_settings_file.cpp
+++ b/tests/platform/test_settings_file.cpp
@@ -61,7 +61,9 @@
     // With this contact time, the directory may list a dead host for up to 7 s.
     CHECK(host.remoteHeartbeatTimeout <= std::chrono::seconds(6));
     CHECK(host.remoteHeartbeatTimeout > state::EntryMembership::HeartbeatTimeout);
-    // Registrations of dead upstreams expire after three heartbeat intervals.
+    // Registrations of dead upstreams expire after three heartbeat intervals, those of live ones
+    // only in an outage that spans one.
+    CHECK(host.harmlessOutage == std::chrono::seconds(2));
     CHECK(host.reconcileTime > std::chrono::seconds(6));
     CHECK(host.seeds.size() == 1);
     CHECK(valueOf(parsed).storeAddress == "127.0.0.1:9000");
--- a/tests/state/test_upstream_registry.cpp
+++ b/tests/state/test_upstream_registry.cpp
@@ -53,6 +53,7 @@
     }
 
     UpstreamRegistry registry;
+    StoreAvailability store;
     ServiceInfo info;
     HostShare share;
     SharedLimits limits;
@@ -83,32 +84,71 @@
 {
     // Guards against an outage of the store that removes all upstreams at once, and against an
     // upstream that is still used long after it has stopped.
+    store.merge({1, Start, Start});
     registry.update(makeRecord("a", "d1"), Start);
     registry.update(makeRecord("b", "d1"), Start);
-    registry.remove("a", Start);
+    registry.remove("a", Start, store);
     CHECK(names() == Names{"a", "b"});
     CHECK(settings().traits.at("a").lastResort);
     CHECK_FALSE(settings().traits.at("b").lastResort);
     CHECK(registry.removedCount() == 1);
-    CHECK(registry.expire(Start + UpstreamRegistry::RemovalGracePeriod - milliseconds(1)).empty());
-    CHECK(registry.expire(Start + UpstreamRegistry::RemovalGracePeriod)
+    const auto end = Start + UpstreamRegistry::RemovalGracePeriod;
+    CHECK(registry.expire(end - milliseconds(1), store).empty());
+    CHECK(registry.expire(end, store)
           == std::vector<ExpiredUpstream>{{"a", "s", UpstreamRegistry::RemovalGracePeriod}});
     CHECK(registry.removedCount() == 0);
     CHECK(names() == Names{"b"});
     // An upstream that registers again within the grace period is used as before.
-    registry.remove("b", Start);
+    registry.remove("b", Start, store);
     registry.update(makeRecord("b", "d1"), Start + seconds(1));
-    registry.expire(Start + seconds(10));
+    registry.expire(Start + seconds(10), store);
     CHECK(names() == Names{"b"});
     CHECK_FALSE(settings().traits.at("b").lastResort);
 }
 
+TEST_CASE_FIXTURE(Fixture, "an upstream that is removed while the store answers is left at once")
+{
+    // Guards against a grace period for each removal, which begins when this host hears of it and
+    // so ends later for a host that hears of it late.
+    store.merge({1, Start, Start + seconds(60)});
+    registry.update(makeRecord("a", "d1"), Start);
+    CHECK(registry.remove("a", Start + seconds(60), store) == std::set<std::string>{"s"});
+    CHECK(names().empty());
+    CHECK(registry.size() == 0);
+}
+
+TEST_CASE_FIXTURE(Fixture, "an upstream is kept if nobody knows whether the store had an outage")
+{
+    // Guards against a host that loses all upstreams since its peers say nothing of the store, as
+    // hosts of earlier versions do.
+    registry.update(makeRecord("a", "d1"), Start);
+    registry.update(makeRecord("b", "d1"), Start);
+    registry.remove("a", Start, store);
+    registry.remove("b", Start, store);
+    CHECK(names() == Names{"a", "b"});
+    const auto end = Start + UpstreamRegistry::RemovalGracePeriod;
+    CHECK(registry.expire(end - milliseconds(1), store).empty());
+    CHECK(registry.expire(end, store).size() == 2);
+}
+
+TEST_CASE_FIXTURE(Fixture, "a removed upstream is left as soon as a peer tells of no outage")
+{
+    // Guards against a host that has missed the store for a while and takes that for its outage.
+    store.merge({1, Start, Start});
+    registry.update(makeRecord("a", "d1"), Start);
+    registry.remove("a", Start, store);
+    CHECK(registry.expire(Start + milliseconds(200), store).empty());
+    store.merge({1, Start - seconds(60), Start + milliseconds(100)});
+    CHECK(registry.expire(Start + milliseconds(250), store)
+          == std::vector<ExpiredUpstream>{{"a", "s", milliseconds(250)}});
+}
+
 TEST_CASE_FIXTURE(Fixture, "a draining upstream is removed without a grace period")
 {
     auto record = makeRecord("a", "d1");
     record.draining = true;
     registry.update(record, Start);
-    registry.remove("a", Start);
+    registry.remove("a", Start, store);
     CHECK(registry.size() == 0);
 }
 
