A store that turns away only its readers is not taken for an outage (DRAIN)

A gap of the answers is tolerated for two heartbeat intervals of the upstreams now in place of one: longer than hosts need to find another reader (call held for 1 s, 0.7 s until it counts as lost, 0.2 s for the next one).

--- a/coordination/record_follower.cpp
+++ b/coordination/record_follower.cpp
@@ -46,7 +46,7 @@
       options_(std::move(options)),
       onChange_(std::move(onChange)),
       mirror_(options_.contentVersionOf),
-      availability_(options_.harmlessOutage)
+      availability_(options_.toleratedGap)
 {
 }
 
--- a/coordination/record_follower.h
+++ b/coordination/record_follower.h
@@ -79,8 +79,8 @@
     /// Time after the first read of a new era of the store in which the operator and the live
     /// upstreams write again what a restore has lost, and the registrations of dead ones expire.
     std::chrono::milliseconds reconcileTime{4500};
-    /// Longest outage of the store in which no registration of a live upstream expires.
-    std::chrono::milliseconds harmlessOutage{state::StoreAvailability::HarmlessOutage};
+    /// See state::StoreAvailability::ToleratedGap.
+    std::chrono::milliseconds toleratedGap{state::StoreAvailability::ToleratedGap};
     /// Orders values across eras of the store; see state::RecordMirror.
     state::ContentVersionOf contentVersionOf = [](const state::StoreRecord & /*record*/) {
         return std::optional<state::ContentVersion>();
--- a/host/host_daemon.cpp
+++ b/host/host_daemon.cpp
@@ -93,7 +93,7 @@
                  },
                  [this] { exchange_.resetPeerWatch(); }, [this] { updateStoreReachability(); },
                  [this] { exchange_.announce(); }},
-                {options_.reconcileTime, options_.harmlessOutage, hooks_.contentVersionOf},
+                {options_.reconcileTime, options_.toleratedGap, hooks_.contentVersionOf},
                 [this](const auto &records) { onRecordsChanged(records); }),
       exchange_(runtime, membership_, follower_,
                 [this] {
--- a/host/host_options.h
+++ b/host/host_options.h
@@ -44,8 +44,8 @@
     std::chrono::milliseconds directoryTtl{2000};
     /// Time after a restore of the store in which its writers write again what it lost.
     std::chrono::milliseconds reconcileTime = coordination::RecordFollowerOptions{}.reconcileTime;
-    /// Longest outage of the store in which no registration of a live upstream expires.
-    std::chrono::milliseconds harmlessOutage = coordination::RecordFollowerOptions{}.harmlessOutage;
+    /// Longest time without an answer of the store to any host that does not count as its outage.
+    std::chrono::milliseconds toleratedGap = coordination::RecordFollowerOptions{}.toleratedGap;
     /// Heartbeat timeout for hosts in other regions.
     std::chrono::milliseconds remoteHeartbeatTimeout =
             state::EntryMembership::RemoteHeartbeatTimeout;
--- a/state/store_availability.cpp
+++ b/state/store_availability.cpp
@@ -8,7 +8,7 @@
 {
     // An answer that is read later than this was given at an unknown time before: this process has
     // stood still.
-    const bool isLate = now > sentAt + wait + harmlessOutage_;
+    const bool isLate = now > sentAt + wait + toleratedGap_;
     const auto before = period_;
     merge({era, sentAt, isLate ? sentAt : now});
     return before && period_->since > before->since;
@@ -22,8 +22,8 @@
     }
     if (period.era < period_->era)
         return;
-    const bool overlaps = period.since <= period_->until + harmlessOutage_
-                          && period_->since <= period.until + harmlessOutage_;
+    const bool overlaps = period.since <= period_->until + toleratedGap_
+                          && period_->since <= period.until + toleratedGap_;
     if (overlaps) {
         period_->since = std::min(period_->since, period.since);
         period_->until = std::max(period_->until, period.until);
--- a/state/store_availability.h
+++ b/state/store_availability.h
@@ -7,8 +7,7 @@
 
 namespace persimmon::state {
 
-/// Time in which the platform's store has answered without an outage in which registrations of live
-/// upstreams expire, by the clock of this host.
+/// Time in which the platform's store has answered some host all along, by the clock of this host.
 struct AnsweringPeriod
 {
     /// Era of the store. A restored store may lack registrations, however short its outage was.
@@ -27,11 +26,12 @@
 class StoreAvailability
 {
 public:
-    /// Default of the longest outage in which no registration of a live upstream expires.
-    static constexpr std::chrono::milliseconds HarmlessOutage{1200};
+    /// Default of the longest time without a known answer that does not count as an outage: hosts
+    /// need it to find out that the store turns away only those that read it. Registrations expire
+    /// in longer outages.
+    static constexpr std::chrono::milliseconds ToleratedGap{2400};
 
-    explicit StoreAvailability(Duration harmlessOutage = HarmlessOutage)
-        : harmlessOutage_(harmlessOutage)
+    explicit StoreAvailability(Duration toleratedGap = ToleratedGap) : toleratedGap_(toleratedGap)
     {
     }
 
@@ -41,8 +41,8 @@
     /// @return whether a known period ended in an outage before this answer.
     bool onAnswer(std::uint64_t era, TimePoint sentAt, Duration wait, TimePoint now);
 
-    /// Adds what a peer knows: two periods of one era become one if no harmful outage lies between
-    /// them. Otherwise, the later one counts.
+    /// Adds what a peer knows: two periods of one era become one if no outage lies between them.
+    /// Otherwise, the later one counts.
     void merge(const AnsweringPeriod &period);
 
     /// Forgets everything, after this process was suspended and its clock may not have run.
@@ -56,7 +56,7 @@
     TimePoint answeringSince(TimePoint heardAt) const;
 
 private:
-    Duration harmlessOutage_;
+    Duration toleratedGap_;
     std::optional<AnsweringPeriod> period_;
 };
 
