A host leaves the peer that it follows as soon as that peer does not answer (DRAIN, CONFIG, EVAC)

Now a watch on a peer is held for 1 s at most, as one on the store is, and a peer that does not answer within 0.6 s more is suspected: for 3.5 s this host chooses its source among the others, or reads the store itself. The peer stays live for all else. Hosts of earlier versions hold a watch for 3.5 s, so their answers are awaited as long as before. Calls of the store come only from hosts that suspect their source. Cost: one more message of some 300 bytes a second for each follower of an idle store; with changes, answers come at least as often anyway.

Measured: a new test of the follower and one of the membership (neither can fail on the old code, which lacks the notion).

--- a/coordination/peer_exchange.cpp
+++ b/coordination/peer_exchange.cpp
@@ -14,8 +14,12 @@
 constexpr const char *Part = "peers";
 constexpr const char *ExchangeTarget = "/exchange";
 constexpr const char *WatchTarget = "/watch";
-/// Longest time for which a watch request of a peer is held; shorter than the timeout of the peer.
-constexpr std::chrono::milliseconds PeerWatchTimeout{3500};
+/// Longest time for which a watch request of a peer is held. A host that stands still is noticed by
+/// its followers only after this time, which must leave them enough time to read the store
+/// elsewhere and to apply a change within its bound.
+constexpr std::chrono::milliseconds WatchHold{1000};
+/// The same for hosts of earlier versions, which do not tell of the store's answers.
+constexpr std::chrono::milliseconds EarlierWatchHold{3500};
 constexpr std::chrono::milliseconds ExchangeTimeout{600};
 /// Delay before the first retry of a host that did not reply; doubles MaxDoublings times.
 constexpr std::chrono::milliseconds InitialRetryDelay{500};
@@ -89,8 +93,7 @@
 }
 
 asio::awaitable<Result<state::RecordDelta, StoreFailure>>
-PeerExchange::watchPeer(std::string peer, state::StorePosition after,
-                        std::chrono::milliseconds wait)
+PeerExchange::watchPeer(std::string peer, state::StorePosition after)
 {
     auto connection = watchConnection_;
     if (!connection || peer != watchedPeer_ || !connection->isReusable()) {
@@ -105,17 +108,21 @@
             co_return StoreFailure::Unavailable;
         watchConnection_ = connection;
         watchedPeer_ = peer;
+        watchedPeerHold_ = watchHoldOf(peer);
     }
     PeerMessage query;
     query.position = after;
     transport::HttpRequest request("POST", WatchTarget, encodePeerMessage(query));
     const auto sentAt = runtime_.clock().now();
-    const auto response = co_await connection->send(std::move(request), wait + ExchangeTimeout);
+    const auto response =
+            co_await connection->send(std::move(request), watchedPeerHold_ + ExchangeTimeout);
     if (!isOk(response))
         co_return StoreFailure::Unavailable;
     const auto reply = decodePeerMessage(valueOf(response).body);
     if (!isOk(reply))
         co_return StoreFailure::Malformed;
+    if (valueOf(reply).storeAnswers)
+        watchedPeerHold_ = WatchHold;
     mergeStoreAnswers(valueOf(reply), sentAt);
     co_return valueOf(reply).delta.value_or(state::RecordDelta{});
 }
@@ -133,7 +140,7 @@
     if (!isOk(decoded))
         co_return transport::HttpResponse(400, "{}");
     const auto after = valueOf(decoded).position;
-    const auto until = runtime_.clock().now() + PeerWatchTimeout;
+    const auto until = runtime_.clock().now() + WatchHold;
     const auto watcher =
             std::make_shared<transport::AsyncAutoResetEvent>(co_await asio::this_coro::executor);
     watchers_.insert(watcher);
@@ -164,6 +171,13 @@
     }
 }
 
+std::chrono::milliseconds PeerExchange::watchHoldOf(const std::string &peer) const
+{
+    const auto found = peers_.find(peer);
+    const bool isCurrent = found != peers_.end() && found->second->tellsStoreAnswers;
+    return isCurrent ? WatchHold : EarlierWatchHold;
+}
+
 bool PeerExchange::mayRequestRecords(const std::string &peer) const
 {
     return membership_.isInOwnRegion(peer)
@@ -205,6 +219,7 @@
     if (state->failures > 0)
         transport::logInfo(Part, "exchange with peer succeeds again", {{"host", peer}});
     state->failures = 0;
+    state->tellsStoreAnswers = valueOf(message).storeAnswers.has_value();
     mergeStoreAnswers(valueOf(message), sentAt);
     applyMessage(valueOf(message));
     gossip_.onReply(valueOf(message));
--- a/coordination/peer_exchange.h
+++ b/coordination/peer_exchange.h
@@ -52,10 +52,9 @@
     void announce();
 
     /// Long-polls @p peer for records after position @p after of the store.
-    /// @param wait time to wait for the reply, to which the exchange timeout is added.
     /// @return the changes, empty if there are none, or the error.
     boost::asio::awaitable<Result<state::RecordDelta, StoreFailure>>
-    watchPeer(std::string peer, state::StorePosition after, std::chrono::milliseconds wait);
+    watchPeer(std::string peer, state::StorePosition after);
 
     /// Ends a watchPeer() in progress.
     void resetPeerWatch();
@@ -70,6 +69,8 @@
         bool inProgress = false;
         transport::TimePoint retryAt{};
         int failures = 0;
+        /// Whether the last reply told of the store's answers, as hosts of earlier versions do not.
+        bool tellsStoreAnswers = false;
     };
 
     boost::asio::awaitable<void> run();
@@ -77,6 +78,8 @@
     boost::asio::awaitable<bool> sendRequest(std::string peer, std::shared_ptr<PeerState> state);
     boost::asio::awaitable<transport::HttpResponse> handleRequest(transport::HttpRequest request);
     boost::asio::awaitable<transport::HttpResponse> handleWatch(transport::HttpRequest request);
+    /// @return the time after which @p peer answers a watch without changes.
+    std::chrono::milliseconds watchHoldOf(const std::string &peer) const;
     /// @return whether records may be requested from @p peer at this time.
     bool mayRequestRecords(const std::string &peer) const;
     void applyMessage(const PeerMessage &message);
@@ -108,6 +111,8 @@
     /// Connection to the peer whose mirror is watched, at control address watchedPeer_.
     std::shared_ptr<transport::HttpConnection> watchConnection_;
     std::string watchedPeer_;
+    /// Time after which watchedPeer_ answers a watch without changes.
+    std::chrono::milliseconds watchedPeerHold_{0};
 };
 
 } // namespace persimmon::coordination
--- a/coordination/record_follower.cpp
+++ b/coordination/record_follower.cpp
@@ -15,9 +15,6 @@
 /// after this time, which must leave enough time to read it elsewhere and to apply a configuration
 /// change within its bound.
 constexpr std::chrono::milliseconds WatchTimeout{1000};
-/// Longest time for which a watch request to a peer is held. A peer that stops answering is also
-/// detected by its heartbeats.
-constexpr std::chrono::milliseconds PeerWatchTimeout{4000};
 /// Time for which the first watch on a connection is held, to learn whether the store answers.
 constexpr std::chrono::milliseconds FirstWatchTimeout{1};
 constexpr std::chrono::milliseconds MinRetryDelay{100};
@@ -86,10 +83,15 @@
         peer_ = peer;
         disconnectStore();
     }
-    auto result = co_await peers_.watch(peer, mirror_.position(), PeerWatchTimeout);
+    auto result = co_await peers_.watch(peer, mirror_.position());
     if (!isOk(result)) {
+        const state::StoreSource failed{false, peer};
+        if (peers_.source() == failed) {
+            log(transport::LogLevel::Warning, "followed peer does not answer", {{"host", peer}});
+            peers_.onSilentPeer(peer);
+        }
         // Another source is tried without a retry delay.
-        co_return peers_.source() != state::StoreSource{false, peer};
+        co_return peers_.source() != failed;
     }
     applyPeerDelta(valueOf(result));
     co_return true;
--- a/coordination/record_follower.h
+++ b/coordination/record_follower.h
@@ -61,12 +61,15 @@
 {
     /// Returns the source from which this host reads records: the store or a peer.
     std::function<state::StoreSource()> source;
-    /// Waits up to @c wait for changes of a peer's mirror after a position of the store.
+    /// Waits for changes of a peer's mirror after a position of the store; empty if there are none
+    /// for some time.
     std::function<boost::asio::awaitable<Result<state::RecordDelta, StoreFailure>>(
-            std::string peer, state::StorePosition after, std::chrono::milliseconds wait)>
+            std::string peer, state::StorePosition after)>
             watch;
     /// Ends a watch in progress.
     std::function<void()> reset;
+    /// Called when a peer did not answer a watch in time.
+    std::function<void(const std::string &peer)> onSilentPeer;
     /// Called when isStoreUnreachable() may have changed.
     std::function<void()> onStoreReachabilityChange;
     /// Called when the store answers this host again and peers may know that it had no outage.
--- a/host/host_daemon.cpp
+++ b/host/host_daemon.cpp
@@ -84,15 +84,18 @@
                  makeForwarderOptions()),
       follower_(runtime, hooks_.store,
                 {[this] {
-                     return state::selectStoreSource(membership_.liveMembers(),
-                                                     options_.controlAddress);
+                     return state::selectStoreSource(
+                             membership_.responsiveMembers(runtime_.clock().now()),
+                             options_.controlAddress);
                  },
-                 [this](std::string peer, state::StorePosition after,
-                        std::chrono::milliseconds wait) {
-                     return exchange_.watchPeer(std::move(peer), after, wait);
+                 [this](std::string peer, state::StorePosition after) {
+                     return exchange_.watchPeer(std::move(peer), after);
                  },
-                 [this] { exchange_.resetPeerWatch(); }, [this] { updateStoreReachability(); },
-                 [this] { exchange_.announce(); }},
+                 [this] { exchange_.resetPeerWatch(); },
+                 [this](const std::string &peer) {
+                     membership_.suspect(peer, runtime_.clock().now());
+                 },
+                 [this] { updateStoreReachability(); }, [this] { exchange_.announce(); }},
                 {options_.reconcileTime, options_.toleratedGap, hooks_.contentVersionOf},
                 [this](const auto &records) { onRecordsChanged(records); }),
       exchange_(runtime, membership_, follower_,
--- a/state/entry_membership.cpp
+++ b/state/entry_membership.cpp
@@ -97,7 +97,8 @@
     const bool restarted = peer.state.incarnation != member.incarnation;
     const auto relayedHeartbeat = restarted ? 0 : peer.ownHeartbeat;
     const auto ownHeartbeat = isSender ? member.heartbeat : relayedHeartbeat;
-    peer = {member, now, ownHeartbeat, changed ? round_ : peer.changedAtRound};
+    const auto suspectedAt = restarted ? std::nullopt : peer.suspectedAt;
+    peer = {member, now, ownHeartbeat, changed ? round_ : peer.changedAtRound, true, suspectedAt};
     return changed;
 }
 
@@ -188,6 +189,25 @@
     return members;
 }
 
+void EntryMembership::suspect(const std::string &control, TimePoint now)
+{
+    const auto found = peers_.find(control);
+    if (found != peers_.end())
+        found->second.suspectedAt = now;
+}
+
+std::vector<MemberState> EntryMembership::responsiveMembers(TimePoint now) const
+{
+    auto members = liveMembers();
+    std::erase_if(members, [&](const MemberState &member) {
+        const auto found = peers_.find(member.control);
+        if (found == peers_.end() || !found->second.suspectedAt)
+            return false;
+        return now - *found->second.suspectedAt < HeartbeatTimeout;
+    });
+    return members;
+}
+
 std::vector<MemberState> EntryMembership::membersFor(const std::string &peer) const
 {
     auto members = liveMembers();
--- a/state/entry_membership.h
+++ b/state/entry_membership.h
@@ -7,6 +7,7 @@
 #include <array>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -125,6 +126,14 @@
     /// @return the states of this host and of all live peers.
     std::vector<MemberState> liveMembers() const;
 
+    /// Records that a live peer did not answer a request in time. It may stand still, long before
+    /// its heartbeat timeout has elapsed.
+    void suspect(const std::string &control, TimePoint now);
+
+    /// @return liveMembers() without the peers that were suspected within HeartbeatTimeout: peers
+    ///         that this host may rely on for what it needs at once.
+    std::vector<MemberState> responsiveMembers(TimePoint now) const;
+
     /// @return liveMembers() and the last state of @p peer even if it is dead, since a host that
     ///         restarted with a lower incarnation needs its old state to choose a higher one.
     std::vector<MemberState> membersFor(const std::string &peer) const;
@@ -158,6 +167,7 @@
         /// Value of round_ when the state last changed, heartbeat and load excepted.
         std::uint64_t changedAtRound = 0;
         bool live = true;
+        std::optional<TimePoint> suspectedAt;
     };
 
     /// @param isSender whether the host itself sent its state.
--- a/tests/coordination/follower_fixture.h
+++ b/tests/coordination/follower_fixture.h
@@ -79,6 +79,10 @@
     std::function<Result<state::RecordDelta, StoreFailure>(StorePosition after)> peer;
     /// Time after which the peer answers without changes.
     std::chrono::milliseconds peerWait{3500};
+    /// Whether watches on the peer fail after peerWait.
+    bool isPeerSilent = false;
+    /// Calls of PeerHooks::onSilentPeer.
+    int silentPeers = 0;
     int reads = 0;
     int watches = 0;
     int gone = 0;
@@ -114,10 +118,14 @@
     PeerHooks peerHooks()
     {
         return {[this] { return source; },
-                [this](std::string, StorePosition after, std::chrono::milliseconds) {
-                    return watchPeer(after);
+                [this](std::string, StorePosition after) { return watchPeer(after); },
+                [] {},
+                [this](const std::string & /*peer*/) {
+                    ++silentPeers;
+                    source = {true, ""};
                 },
-                [] {}, [] {}, [this] { ++returns; }};
+                [] {},
+                [this] { ++returns; }};
     }
 
     boost::asio::awaitable<Result<StorePage, StoreFailure>> readPage(std::string after)
@@ -180,6 +188,8 @@
                 co_return result;
             co_await runtime_.clock().sleep(Step);
         }
+        if (isPeerSilent)
+            co_return StoreFailure::Unavailable;
         co_return state::RecordDelta{};
     }
 
--- a/tests/coordination/test_record_follower.cpp
+++ b/tests/coordination/test_record_follower.cpp
@@ -316,3 +316,22 @@
     CHECK(isOutage(4s));
     CHECK(fixture.returns == 1);
 }
+
+// Guards against a follower that waits for a source that stands still until that counts as dead.
+TEST_CASE("a follower whose source does not answer reads the store at once")
+{
+    FollowerFixture fixture;
+    load(fixture);
+    fixture.source = {false, "peer"};
+    fixture.peerWait = 1600ms;
+    fixture.peer = [](StorePosition) -> Result<state::RecordDelta, StoreFailure> {
+        return state::RecordDelta{};
+    };
+    fixture.advance(10s);
+    CHECK(fixture.silentPeers == 0);
+    fixture.isPeerSilent = true;
+    fixture.write("config", "11");
+    fixture.advance(fixture.peerWait + 500ms);
+    CHECK(fixture.silentPeers == 1);
+    CHECK(fixture.shown.at("config") == "11");
+}
--- a/tests/coordination/test_record_propagation.cpp
+++ b/tests/coordination/test_record_propagation.cpp
@@ -81,12 +81,16 @@
     {
         PeerHooks hooks;
         hooks.source = [this] {
-            return state::selectStoreSource(membership_.liveMembers(), membership_.self().control);
+            return state::selectStoreSource(membership_.responsiveMembers(runtime_.clock().now()),
+                                            membership_.self().control);
         };
-        hooks.watch = [this](std::string peer, state::StorePosition after, milliseconds wait) {
-            return exchange_.watchPeer(std::move(peer), after, wait);
+        hooks.watch = [this](std::string peer, state::StorePosition after) {
+            return exchange_.watchPeer(std::move(peer), after);
         };
         hooks.reset = [this] { exchange_.resetPeerWatch(); };
+        hooks.onSilentPeer = [this](const std::string &peer) {
+            membership_.suspect(peer, runtime_.clock().now());
+        };
         hooks.onStoreReachabilityChange = [this] {
             if (membership_.setStoreUnreachable(follower_.isStoreUnreachable()))
                 exchange_.announce();
--- a/tests/state/test_entry_membership.cpp
+++ b/tests/state/test_entry_membership.cpp
@@ -272,6 +272,33 @@
     CHECK(selectStoreSource(members, "a") == StoreSource{false, "b"});
 }
 
+// Guards against a host that waits for a source that stands still until that source counts as dead.
+TEST_CASE("another host reads the store in place of one that does not answer its followers")
+{
+    EntryMembership membership(makeMember("b"));
+    membership.merge({makeMember("a"), makeMember("c", "r2"), makeMember("d", "r3")}, Start);
+    const auto sourceAt = [&](TimePoint now) {
+        return selectStoreSource(membership.responsiveMembers(now), "b");
+    };
+    CHECK(sourceAt(Start) == StoreSource{false, "a"});
+    membership.suspect("a", Start);
+    CHECK(sourceAt(Start) == StoreSource{true, ""});
+    // A suspected host is live, and its callers and peers are not affected.
+    CHECK(membership.liveCount() == 4);
+    // What others relay of it says nothing of its answers to this host.
+    auto relayed = makeMember("a");
+    relayed.heartbeat = 9;
+    membership.merge({makeMember("c", "r2"), relayed}, Start + seconds(1));
+    CHECK(sourceAt(Start + seconds(1)) == StoreSource{true, ""});
+    CHECK(sourceAt(Start + EntryMembership::HeartbeatTimeout) == StoreSource{false, "a"});
+    // A restarted host is another process.
+    membership.suspect("a", Start + seconds(10));
+    auto restarted = makeMember("a");
+    restarted.incarnation = 2;
+    membership.merge({restarted}, Start + seconds(10));
+    CHECK(sourceAt(Start + seconds(10)) == StoreSource{false, "a"});
+}
+
 TEST_CASE("hosts with equal member states need only heartbeats to keep each other alive")
 {
     // Guards against a digest that differs for equal states, and against heartbeats that mark a
