What a host says of itself survives being relayed by a host of another version

A state that lacks these fields is now known as partial: it brings heartbeat, phase and load, and leaves what the owner, or a host that knows the fields, has said in the same incarnation. A complete state that arrives behind a later partial one still brings its fields. Columns of later versions are kept as they came (256 bytes a host at most) and relayed.

--- a/coordination/peer_message.cpp
+++ b/coordination/peer_message.cpp
@@ -15,6 +15,8 @@
 constexpr const char *Part = "peers";
 /// Larger than the limit of any upstream, in requests per second.
 constexpr double MaxRequestLimit = 1e9;
+/// Longest fields of a later version that are relayed for a host.
+constexpr std::size_t MaxLaterBytes = 256;
 /// Longer ages of the store's answers are sent as this age, which makes no difference.
 constexpr std::chrono::milliseconds MaxAnswerAge{std::chrono::hours(1)};
 
@@ -33,6 +35,8 @@
     /// Hosts of earlier versions leave out the columns from here on.
     Relay,
     UpstreamsUnreachable,
+    /// Hosts of later versions may add columns from here on.
+    Later,
 };
 /// Array positions of the columns of a store record. The value is null for a deleted key. The
 /// columns from Era are left out if the revision was assigned in the era of the message and no
@@ -71,13 +75,41 @@
     member.storeUnreachable = columns.at(StoreUnreachable).to_number<int>() != 0;
     member.capacity = columns.at(Capacity).to_number<std::uint32_t>();
     member.load = columns.at(Load).to_number<std::uint32_t>();
+    member.isPartial = columns.size() <= UpstreamsUnreachable;
     if (columns.size() > Relay && !columns.at(Relay).as_string().empty())
         member.relay = readAddress(columns.at(Relay));
     if (columns.size() > UpstreamsUnreachable)
         member.upstreamsUnreachable = columns.at(UpstreamsUnreachable).to_number<int>() != 0;
+    if (columns.size() > Later)
+        member.laterFields = json::serialize(json::array(columns.begin() + Later, columns.end()));
+    if (member.laterFields.size() > MaxLaterBytes)
+        throw std::invalid_argument("the fields of a later version are too long");
     return member;
 }
 
+json::array writeMember(const state::MemberState &member)
+{
+    json::array columns{member.control,
+                        member.front,
+                        member.failureDomain,
+                        member.region,
+                        member.incarnation,
+                        member.heartbeat,
+                        static_cast<std::uint64_t>(member.phase),
+                        member.storeUnreachable ? 1 : 0,
+                        member.capacity,
+                        member.load};
+    if (member.isPartial)
+        return columns;
+    columns.emplace_back(member.relay);
+    columns.emplace_back(member.upstreamsUnreachable ? 1 : 0);
+    if (member.laterFields.empty())
+        return columns;
+    const auto later = json::parse(member.laterFields);
+    columns.insert(columns.end(), later.as_array().begin(), later.as_array().end());
+    return columns;
+}
+
 /// @param numbers flat array of host, heartbeat and load for each host.
 std::vector<state::MemberHeartbeat> readHeartbeats(const json::array &numbers)
 {
@@ -226,13 +258,8 @@
 std::string encodePeerMessage(const PeerMessage &message)
 {
     json::array members;
-    for (const auto &member : message.members) {
-        members.push_back(json::array{member.control, member.front, member.failureDomain,
-                                      member.region, member.incarnation, member.heartbeat,
-                                      static_cast<std::uint64_t>(member.phase),
-                                      member.storeUnreachable ? 1 : 0, member.capacity, member.load,
-                                      member.relay, member.upstreamsUnreachable ? 1 : 0});
-    }
+    for (const auto &member : message.members)
+        members.push_back(writeMember(member));
     json::array heartbeats;
     for (const auto &heartbeat : message.heartbeats) {
         heartbeats.insert(heartbeats.end(), {heartbeat.host, heartbeat.heartbeat, heartbeat.load});
--- a/state/entry_membership.cpp
+++ b/state/entry_membership.cpp
@@ -81,24 +81,55 @@
         supersedeHeartbeat(member.heartbeat);
         return false;
     }
-    const auto [found, isNew] = peers_.try_emplace(member.control, Peer{member, now, 0, round_});
-    if (isNew)
-        return true;
+    const auto [found, isNew] = peers_.try_emplace(member.control, Peer{member, now, 0, 0, round_});
     auto &peer = found->second;
+    if (isNew) {
+        peer.completeHeartbeat = member.isPartial ? 0 : member.heartbeat;
+        return true;
+    }
+    const bool cutChanged = mergeLaterFields(peer, member);
+    if (cutChanged)
+        peer.changedAtRound = round_;
     const auto known =
             std::pair(peer.state.incarnation, isSender ? peer.ownHeartbeat : peer.state.heartbeat);
     if (std::pair(member.incarnation, member.heartbeat) <= known)
-        return false;
-    const bool changed = !peer.live || peer.state.phase != member.phase
-                         || peer.state.incarnation != member.incarnation
-                         || peer.state.front != member.front
-                         || peer.state.storeUnreachable != member.storeUnreachable
-                         || peer.state.upstreamsUnreachable != member.upstreamsUnreachable;
+        return cutChanged;
     const bool restarted = peer.state.incarnation != member.incarnation;
-    const auto relayedHeartbeat = restarted ? 0 : peer.ownHeartbeat;
-    const auto ownHeartbeat = isSender ? member.heartbeat : relayedHeartbeat;
-    const auto suspectedAt = restarted ? std::nullopt : peer.suspectedAt;
-    peer = {member, now, ownHeartbeat, changed ? round_ : peer.changedAtRound, true, suspectedAt};
+    const bool changed = cutChanged || restarted || !peer.live || peer.state.phase != member.phase
+                         || peer.state.front != member.front
+                         || peer.state.storeUnreachable != member.storeUnreachable;
+    auto state = member;
+    if (!restarted) {
+        state.relay = peer.state.relay;
+        state.upstreamsUnreachable = peer.state.upstreamsUnreachable;
+        state.isPartial = peer.state.isPartial;
+        state.laterFields = peer.state.laterFields;
+    } else {
+        peer.ownHeartbeat = 0;
+        peer.completeHeartbeat = member.isPartial ? 0 : member.heartbeat;
+        peer.suspectedAt.reset();
+    }
+    peer.state = std::move(state);
+    peer.lastHeartbeatAt = now;
+    peer.live = true;
+    if (isSender)
+        peer.ownHeartbeat = member.heartbeat;
+    if (changed)
+        peer.changedAtRound = round_;
+    return changed;
+}
+
+bool EntryMembership::mergeLaterFields(Peer &peer, const MemberState &member)
+{
+    if (member.isPartial || member.incarnation != peer.state.incarnation
+        || member.heartbeat <= peer.completeHeartbeat)
+        return false;
+    const bool changed = peer.state.upstreamsUnreachable != member.upstreamsUnreachable;
+    peer.state.relay = member.relay;
+    peer.state.upstreamsUnreachable = member.upstreamsUnreachable;
+    peer.state.isPartial = false;
+    peer.state.laterFields = member.laterFields;
+    peer.completeHeartbeat = member.heartbeat;
     return changed;
 }
 
--- a/state/entry_membership.h
+++ b/state/entry_membership.h
@@ -45,6 +45,11 @@
     std::string relay = {};
     /// Whether the host has lost its path to all upstreams.
     bool upstreamsUnreachable = false;
+    /// Whether a host of an earlier version has relayed this state and left out the fields from
+    /// @c relay on.
+    bool isPartial = false;
+    /// Fields of a later version as a JSON array, relayed as they were received; empty for none.
+    std::string laterFields = {};
 
     bool operator==(const MemberState &) const = default;
 };
@@ -164,6 +169,8 @@
         /// Heartbeat in the last member state that the host sent itself. That in @c state may be
         /// higher and of an earlier incarnation, since relayed heartbeats name none.
         std::uint64_t ownHeartbeat = 0;
+        /// Heartbeat in the last member state that was not partial.
+        std::uint64_t completeHeartbeat = 0;
         /// Value of round_ when the state last changed, heartbeat and load excepted.
         std::uint64_t changedAtRound = 0;
         bool live = true;
@@ -172,6 +179,10 @@
 
     /// @param isSender whether the host itself sent its state.
     bool mergeMember(const MemberState &member, bool isSender, TimePoint now);
+    /// Takes the fields that partial states lack from a state that is not partial, and from the
+    /// known state otherwise.
+    /// @return whether the path to the upstreams was lost or regained.
+    static bool mergeLaterFields(Peer &peer, const MemberState &member);
     /// Continues above a heartbeat of an earlier incarnation that peers still relay.
     void supersedeHeartbeat(std::uint64_t heartbeat);
     bool changedRecently(const Peer &peer) const;
--- a/tests/coordination/test_peer_message.cpp
+++ b/tests/coordination/test_peer_message.cpp
@@ -58,6 +58,24 @@
     CHECK(valueOf(decoded) == message);
 }
 
+// Guards against a host that relays a member state and drops what its own version does not know.
+TEST_CASE("fields of a member that earlier versions lack and later ones add survive being relayed")
+{
+    PeerMessage message;
+    message.members = {makeMessage().members.front()};
+    message.members.front().laterFields = R"(["x",[7]])";
+    auto decoded = decodePeerMessage(encodePeerMessage(message));
+    REQUIRE(isOk(decoded));
+    CHECK(valueOf(decoded).members == message.members);
+    message.members.front() = {};
+    message.members.front().control = "127.0.0.1:1";
+    message.members.front().front = "127.0.0.1:2";
+    message.members.front().isPartial = true;
+    decoded = decodePeerMessage(encodePeerMessage(message));
+    REQUIRE(isOk(decoded));
+    CHECK(valueOf(decoded).members == message.members);
+}
+
 // Guards against a message that is lost, and against a wrong outage, for odd ages of the store's
 // answers.
 TEST_CASE("odd ages of the store's answers are left out of a peer message")
--- a/tests/state/test_entry_membership.cpp
+++ b/tests/state/test_entry_membership.cpp
@@ -299,6 +299,41 @@
     CHECK(sourceAt(Start + seconds(10)) == StoreSource{false, "a"});
 }
 
+// Guards against hosts that forget where another one takes requests, or that it is cut from its
+// upstreams, when a host of an earlier version relays its state.
+TEST_CASE("a state that a host of an earlier version relays does not hide what the owner said")
+{
+    EntryMembership membership(makeMember("a"));
+    auto complete = makeMember("b");
+    complete.relay = "b:relay";
+    complete.upstreamsUnreachable = true;
+    complete.laterFields = "[1]";
+    membership.merge({complete}, Start);
+    auto partial = makeMember("b");
+    partial.isPartial = true;
+    partial.heartbeat = 5;
+    partial.load = 3;
+    membership.merge({makeMember("c"), partial}, Start);
+    const auto stateOfB = [&] { return membership.liveMembers().at(1); };
+    CHECK(stateOfB().heartbeat == 5);
+    CHECK(stateOfB().load == 3);
+    CHECK(stateOfB().relay == "b:relay");
+    CHECK(stateOfB().upstreamsUnreachable);
+    CHECK(stateOfB().laterFields == "[1]");
+    CHECK_FALSE(stateOfB().isPartial);
+    // A newer complete state that arrives behind a later partial one is not lost.
+    complete.heartbeat = 4;
+    complete.upstreamsUnreachable = false;
+    CHECK(membership.merge({makeMember("c"), complete}, Start));
+    CHECK_FALSE(stateOfB().upstreamsUnreachable);
+    CHECK(stateOfB().heartbeat == 5);
+    // What was said of an earlier incarnation does not hold for the next one.
+    partial.incarnation = 2;
+    membership.merge({makeMember("c"), partial}, Start);
+    CHECK(stateOfB().relay.empty());
+    CHECK(stateOfB().isPartial);
+}
+
 TEST_CASE("hosts with equal member states need only heartbeats to keep each other alive")
 {
     // Guards against a digest that differs for equal states, and against heartbeats that mark a
