--- a/state/entry_membership.h
+++ b/state/entry_membership.h
@@ -174,7 +174,7 @@
         /// Value of round_ when the state last changed, heartbeat and load excepted.
         std::uint64_t changedAtRound = 0;
         bool live = true;
-        std::optional<TimePoint> suspectedAt;
+        std::optional<TimePoint> suspectedAt = {};
     };
 
     /// @param isSender whether the host itself sent its state.
