--- a/tests/system/platform_cluster.cpp
+++ b/tests/system/platform_cluster.cpp
@@ -67,7 +67,7 @@
 void PlatformCluster::startHost(int host)
 {
     writeSettings(host);
-    const auto program = std::string(PERSIMMON_BINARY_DIR) + "/persimmon-host";
+    const auto program = options_.programFor(host);
     processes_[host] = std::make_unique<Process>(
             std::vector<std::string>{program, "--settings-file", settingsPath(host),
                                      "--metrics-port", std::to_string(ports_.at(host).metrics)},
--- a/tests/system/platform_cluster.h
+++ b/tests/system/platform_cluster.h
@@ -44,6 +44,10 @@
     /// Returns the address of the store to configure in a host.
     std::function<std::string(int host, const std::string &address)> storeAddressFor =
             [](int /*host*/, const std::string &address) { return address; };
+    /// Returns the path of the program of a host.
+    std::function<std::string(int host)> programFor = [](int /*host*/) {
+        return std::string(PERSIMMON_BINARY_DIR) + "/persimmon-host";
+    };
     /// Addresses that all hosts take for the control addresses of further hosts.
     std::vector<std::string> extraSeeds = {};
 };
