Pass the store's availability in the test of notices

Since test_forward did not compile: UpstreamRegistry::remove() takes what is known of the store's outages. Nothing is known of the store in this test, so that the upstream is kept as before.

--- a/tests/forward/test_upstream_notices.cpp
+++ b/tests/forward/test_upstream_notices.cpp
@@ -63,7 +63,7 @@
         call("/once/", "POST");
         CHECK(services.restrictions().size() == 0);
         // The upstream counts as replaced or avoided for a time.
-        registry.remove("u1", runtime.clock().now());
+        registry.remove("u1", runtime.clock().now(), state::StoreAvailability());
     }
 }
 
