Move the application of store records out of HostDaemon

host_daemon.cpp had grown to 530 lines, of which a fifth put records into force and logged them, each with the same two fields. RecordApplier does that now, and the grace period of removed upstreams with it; HostDaemon has 462 lines.

--- a/host/host_daemon.cpp
+++ b/host/host_daemon.cpp
@@ -129,9 +129,10 @@
                        [this](transport::HttpRequest request) {
                            return handleReadiness(std::move(request));
                        }),
-      metricsServer_(runtime, [this](transport::HttpRequest request) {
-          return handleMetrics(std::move(request));
-      })
+      metricsServer_(
+              runtime,
+              [this](transport::HttpRequest request) { return handleMetrics(std::move(request)); }),
+      recordApplier_(makeRecordApplier())
 {
     exchange_.setSeeds(options_.seeds);
     setRestrictionHooks();
@@ -139,6 +140,16 @@
     addGauges();
 }
 
+RecordApplier HostDaemon::makeRecordApplier()
+{
+    const RecordApplier::Components components{runtime_,          registry_,  services_,
+                                               forwardingClient_, forwarder_, follower_};
+    return {components, hooks_.decodeRecord, [this](const state::CallerLimits &limits) {
+                frontendServer_.setLimits(limits);
+                relayServer_.setLimits(withPeerFields(limits));
+            }};
+}
+
 forward::CrashGateHooks HostDaemon::makeCrashGateHooks()
 {
     forward::CrashGateHooks hooks;
@@ -237,76 +248,11 @@
 
 void HostDaemon::onRecordsChanged(const std::vector<state::StoreRecord> &records)
 {
-    std::set<std::string> changedServices;
-    for (const auto &record : records) {
-        const auto decoded = hooks_.decodeRecord(record);
-        std::visit([&](const auto &value) { applyRecord(value, changedServices); }, decoded);
-    }
-    services_.reconfigure(changedServices);
+    recordApplier_.apply(records);
     updatePhase();
     exchange_.wakeWatchers();
 }
 
-void HostDaemon::applyRecord(const state::RoutingConfig &config,
-                             std::set<std::string> & /*changedServices*/)
-{
-    const auto &current = forwarder_.routes();
-    if (current && current->config().version >= config.version)
-        return;
-    const auto routes = std::make_shared<const state::RouteTable>(config);
-    services_.setServices(config.services);
-    frontendServer_.setLimits(config.limits);
-    relayServer_.setLimits(withPeerFields(config.limits));
-    forwarder_.setRoutes(routes);
-    transport::logInfo(Part, "configuration applied",
-                       {{"version", std::to_string(config.version)},
-                        {"routes", std::to_string(config.routes.size())},
-                        {"era", std::to_string(follower_.mirror().position().era)},
-                        {"revision", std::to_string(follower_.mirror().position().revision)}});
-}
-
-void HostDaemon::applyRecord(const state::UpstreamRecord &record,
-                             std::set<std::string> &changedServices)
-{
-    const auto now = runtime_.clock().now();
-    changedServices.merge(registry_.update(record, now));
-    services_.restrictions().onRegistered(record.id, record.incarnation, now);
-    transport::logInfo(Part, "upstream updated",
-                       {{"upstream", record.id},
-                        {"service", record.service},
-                        {"state", record.draining ? "draining" : "ready"},
-                        {"cold_ms", std::to_string(record.coldTimeLeft.count())},
-                        {"era", std::to_string(follower_.mirror().position().era)},
-                        {"revision", std::to_string(follower_.mirror().position().revision)}});
-}
-
-void HostDaemon::applyRecord(const RemovedUpstream &removed, std::set<std::string> &changedServices)
-{
-    forwardingClient_.closeIdleTo(removed.id);
-    const auto now = runtime_.clock().now();
-    services_.restrictions().onUnregistered(removed.id, now);
-    const auto services = registry_.remove(removed.id, now, follower_.availability());
-    if (services.empty())
-        return;
-    transport::logInfo(Part, "upstream removed",
-                       {{"upstream", removed.id},
-                        {"service", *services.begin()},
-                        {"last_resort", registry_.isKept(removed.id) ? "yes" : "no"},
-                        {"era", std::to_string(follower_.mirror().position().era)},
-                        {"revision", std::to_string(follower_.mirror().position().revision)}});
-    changedServices.insert(services.begin(), services.end());
-}
-
-void HostDaemon::applyRecord(const EvacuationRecord &record, std::set<std::string> &changedServices)
-{
-    changedServices.merge(registry_.setEvacuated(record.failureDomain, record.evacuated));
-    transport::logInfo(Part, "failure domain changed",
-                       {{"failure_domain", record.failureDomain},
-                        {"evacuated", record.evacuated ? "yes" : "no"},
-                        {"era", std::to_string(follower_.mirror().position().era)},
-                        {"revision", std::to_string(follower_.mirror().position().revision)}});
-}
-
 void HostDaemon::mergeRestrictions(const coordination::PeerMessage &message)
 {
     const auto source = message.members.empty() ? "peer" : message.members.front().control;
@@ -400,20 +346,6 @@
     updateHostShare();
 }
 
-void HostDaemon::expireUpstreams(transport::TimePoint now)
-{
-    std::set<std::string> services;
-    for (const auto &expired : registry_.expire(now, follower_.availability())) {
-        services.insert(expired.service);
-        const auto kept = std::chrono::round<std::chrono::milliseconds>(expired.keptFor);
-        transport::logInfo(Part, "removed upstream is no longer used",
-                           {{"upstream", expired.id},
-                            {"service", expired.service},
-                            {"kept_ms", std::to_string(kept.count())}});
-    }
-    services_.reconfigure(services);
-}
-
 asio::awaitable<void> HostDaemon::tick()
 {
     auto last = runtime_.clock().now();
@@ -436,7 +368,7 @@
         }
         bootClockOffset_ = offset;
         last = now;
-        expireUpstreams(now);
+        recordApplier_.expire(now);
         exchange_.expire();
         crashes_.expire(now);
         services_.restrictions().expire(now);
--- a/host/host_daemon.h
+++ b/host/host_daemon.h
@@ -2,6 +2,7 @@
 
 #include "host/caller_directory.h"
 #include "host/host_options.h"
+#include "host/record_applier.h"
 
 #include <memory>
 #include <random>
@@ -36,15 +37,8 @@
     forward::CrashGateHooks makeCrashGateHooks();
     forward::UpstreamPathHooks makeUpstreamPathHooks();
     forward::ForwarderOptions makeForwarderOptions();
+    RecordApplier makeRecordApplier();
     void onRecordsChanged(const std::vector<state::StoreRecord> &records);
-    /// Applies a decoded record and adds the affected services to @p changedServices.
-    void applyRecord(const state::RoutingConfig &config, std::set<std::string> &changedServices);
-    void applyRecord(const state::UpstreamRecord &record, std::set<std::string> &changedServices);
-    void applyRecord(const RemovedUpstream &removed, std::set<std::string> &changedServices);
-    void applyRecord(const EvacuationRecord &record, std::set<std::string> &changedServices);
-    void applyRecord(const IgnoredRecord & /*record*/, std::set<std::string> & /*changedServices*/)
-    {
-    }
     void mergeRestrictions(const coordination::PeerMessage &message);
     void setRestrictionHooks();
     void logRestrictions(const state::RestrictionReport &report, const std::string &source);
@@ -56,7 +50,6 @@
     void onUpstreamPathChanged();
     /// Opens the listener for requests that other hosts pass on. Without one, none are accepted.
     void listenForPeers();
-    void expireUpstreams(transport::TimePoint now);
     void updatePhase();
     void updateMembershipLoad();
     boost::asio::awaitable<void> tick();
@@ -90,6 +83,7 @@
     transport::HttpServer directoryServer_;
     transport::HttpServer readinessServer_;
     transport::HttpServer metricsServer_;
+    RecordApplier recordApplier_;
     bool leaving_ = false;
     std::uint64_t lastSubRequestCount_ = 0;
     transport::Duration bootClockOffset_{};
