--- a/coordination/peer_exchange.h
+++ b/coordination/peer_exchange.h
@@ -90,9 +90,8 @@
     void addStoreState(PeerMessage &message) const;
     /// Merges what the sender of a reply knows of the store's answers. Must be called before the
     /// records of the reply are applied.
-    /// @param sentAt when this host sent the request. The reply was written later than that; when
-    /// is
-    ///        unknown if this process has stood still since.
+    /// @param sentAt when this host sent the request. The reply was written later, but if this
+    ///        process has stood still since, possibly long before it is read.
     void mergeStoreAnswers(const PeerMessage &reply, transport::TimePoint sentAt);
     void recordFailure(const std::string &peer, PeerState &state, const std::string &reason);
 
--- a/state/store_availability.h
+++ b/state/store_availability.h
@@ -38,7 +38,7 @@
     /// Records an answer to this host.
     /// @param sentAt when the call was sent.
     /// @param wait time for which the store was asked to hold the call.
-    /// @return whether a known period ended in an outage before this answer.
+    /// @return whether this answer begins a new period after a known one.
     bool onAnswer(std::uint64_t era, TimePoint sentAt, Duration wait, TimePoint now);
 
     /// Adds what a peer knows: two periods of one era become one if no outage lies between them.
