Log why a removed upstream is kept or left, and count it

The line 'upstream removed' now names the reason, the source of the news, and the ages of what the host knows of the store's answers; persimmon_upstream_removals_total counts by reason. The line 'applied records from a peer' names the peer. No decision changes.

--- a/coordination/peer_exchange.cpp
+++ b/coordination/peer_exchange.cpp
@@ -265,8 +265,8 @@
         onMembershipChange_();
     }
     sharedState_.merge(message);
-    if (message.delta)
-        follower_.applyPeerDelta(*message.delta);
+    if (message.delta && !message.members.empty())
+        follower_.applyPeerDelta(*message.delta, message.members.front().control);
     follower_.observePeerPosition(message.position, message.isReconciled);
     const bool isBehind = message.position > follower_.mirror().position();
     if (!isBehind || pulling_ || message.members.empty())
--- a/coordination/record_follower.cpp
+++ b/coordination/record_follower.cpp
@@ -93,7 +93,7 @@
         // Another source is tried without a retry delay.
         co_return peers_.source() != failed;
     }
-    applyPeerDelta(valueOf(result));
+    applyPeerDelta(valueOf(result), peer);
     co_return true;
 }
 
@@ -155,6 +155,7 @@
     }
     needsSnapshot_ = false;
     const auto changes = mirror_.applySnapshot(items, asOf);
+    recordSource_.clear();
     setConnected(true, StoreFailure::Unavailable);
     onStoreAnswer(asOf, sentAt, std::chrono::milliseconds(0));
     log(transport::LogLevel::Info, "loaded store snapshot",
@@ -188,6 +189,7 @@
     }
     onStoreAnswer(update.asOf, sentAt, wait);
     const auto changes = mirror_.apply(update.records, update.asOf);
+    recordSource_.clear();
     onMirrorUpdated();
     if (!changes.empty())
         onChange_(changes);
@@ -266,15 +268,16 @@
     transport::log(level, Part, message, all);
 }
 
-void RecordFollower::applyPeerDelta(const state::RecordDelta &delta)
+void RecordFollower::applyPeerDelta(const state::RecordDelta &delta, const std::string &peer)
 {
     if (delta.asOf <= mirror_.position())
         return;
     const auto changes = mirror_.apply(delta);
     // The watch can continue from this position, so no complete read is needed.
     needsSnapshot_ = false;
+    recordSource_ = peer;
     log(transport::LogLevel::Info, "applied records from a peer",
-        {{"news", std::to_string(changes.size())}});
+        {{"host", peer}, {"news", std::to_string(changes.size())}});
     onMirrorUpdated();
     if (!changes.empty())
         onChange_(changes);
--- a/coordination/record_follower.h
+++ b/coordination/record_follower.h
@@ -108,7 +108,8 @@
     void checkSource();
 
     /// Applies the records of a peer if they are newer than this mirror.
-    void applyPeerDelta(const state::RecordDelta &delta);
+    /// @param peer control address of the peer.
+    void applyPeerDelta(const state::RecordDelta &delta, const std::string &peer);
 
     /// Records the position of a peer's mirror. The watch is restarted if it does not reach that
     /// position in time, or at once if the peer knows of a later era of the store.
@@ -126,6 +127,9 @@
 
     const state::RecordMirror &mirror() const { return mirror_; }
 
+    /// @return control address of the peer from which the last records came; empty for the store.
+    const std::string &recordSource() const { return recordSource_; }
+
     /// @return when the store is known to have answered this host or a peer.
     const state::StoreAvailability &availability() const { return availability_; }
 
@@ -168,6 +172,7 @@
     bool connected_ = false;
     /// Peer whose mirror is watched; empty while the store is read.
     std::string peer_;
+    std::string recordSource_;
     /// Whether a call to the store has completed since startup or since the last disconnectStore().
     bool attempted_ = false;
     bool needsSnapshot_ = true;
--- a/host/host_daemon.cpp
+++ b/host/host_daemon.cpp
@@ -143,7 +143,8 @@
 RecordApplier HostDaemon::makeRecordApplier()
 {
     const RecordApplier::Components components{runtime_,          registry_,  services_,
-                                               forwardingClient_, forwarder_, follower_};
+                                               forwardingClient_, forwarder_, follower_,
+                                               metrics_};
     return {components, hooks_.decodeRecord, [this](const state::CallerLimits &limits) {
                 frontendServer_.setLimits(limits);
                 relayServer_.setLimits(withPeerFields(limits));
--- a/host/record_applier.cpp
+++ b/host/record_applier.cpp
@@ -48,13 +48,45 @@
     const auto now = components_.runtime.clock().now();
     components_.services.restrictions().onUnregistered(removed.id, now);
     auto &registry = components_.registry;
-    const auto services = registry.remove(removed.id, now, components_.follower.availability());
-    if (services.empty())
+    const auto removal = registry.remove(removed.id, now, components_.follower.availability());
+    if (!removal)
         return;
-    log("upstream removed", {{"upstream", removed.id},
-                             {"service", *services.begin()},
-                             {"last_resort", registry.isKept(removed.id) ? "yes" : "no"}});
-    changedServices.insert(services.begin(), services.end());
+    removalCounter(*removal).add();
+    logRemoval(removed.id, *removal);
+    changedServices.insert(removal->service);
+}
+
+transport::Counter &RecordApplier::removalCounter(const state::UpstreamRemoval &removal)
+{
+    const auto reason = std::string(enumName(state::RemovalReasonNames, removal.reason));
+    return components_.metrics.counter(
+            "persimmon_upstream_removals_total", "Removed registrations of upstreams.",
+            "reason=\"" + reason + "\",last_resort=\"" + (removal.isKept ? "yes" : "no") + "\"");
+}
+
+void RecordApplier::logRemoval(const std::string &upstream,
+                               const state::UpstreamRemoval &removal) const
+{
+    const auto &follower = components_.follower;
+    const auto &store = follower.availability();
+    const auto &period = store.period();
+    const auto now = components_.runtime.clock().now();
+    const auto ageOf = [now](std::optional<transport::TimePoint> time) {
+        if (!time)
+            return std::string("unknown");
+        return std::to_string(std::chrono::round<std::chrono::milliseconds>(now - *time).count());
+    };
+    const auto since = period ? std::optional(period->since) : std::nullopt;
+    const auto until = period ? std::optional(period->until) : std::nullopt;
+    log("upstream removed",
+        {{"upstream", upstream},
+         {"service", removal.service},
+         {"last_resort", removal.isKept ? "yes" : "no"},
+         {"reason", std::string(enumName(state::RemovalReasonNames, removal.reason))},
+         {"source", follower.recordSource().empty() ? "store" : follower.recordSource()},
+         {"store_answers_since_ms", ageOf(since)},
+         {"store_answered_ms", ageOf(until)},
+         {"own_answer_ms", ageOf(store.ownAnswerAt())}});
 }
 
 void RecordApplier::applyRecord(const EvacuationRecord &record, Services &changedServices)
--- a/host/record_applier.h
+++ b/host/record_applier.h
@@ -23,6 +23,7 @@
         forward::ForwardingClient &forwardingClient;
         forward::RequestForwarder &forwarder;
         const coordination::RecordFollower &follower;
+        transport::Metrics &metrics;
     };
 
     using DecodeRecord = std::function<DecodedRecord(const state::StoreRecord &)>;
@@ -49,6 +50,9 @@
     void applyRecord(const RemovedUpstream &removed, Services &changedServices);
     void applyRecord(const EvacuationRecord &record, Services &changedServices);
     void applyRecord(const IgnoredRecord & /*record*/, Services & /*changedServices*/) {}
+    transport::Counter &removalCounter(const state::UpstreamRemoval &removal);
+    /// Logs a decision with what it rests on.
+    void logRemoval(const std::string &upstream, const state::UpstreamRemoval &removal) const;
     /// Logs a message with the position of the store's history.
     void log(std::string_view message, std::vector<transport::LogField> fields) const;
 
--- a/state/store_availability.cpp
+++ b/state/store_availability.cpp
@@ -10,7 +10,8 @@
     // stood still.
     const bool isLate = now > sentAt + wait + toleratedGap_;
     const auto before = period_;
-    merge({era, sentAt, isLate ? sentAt : now});
+    ownAnswerAt_ = isLate ? sentAt : now;
+    merge({era, sentAt, *ownAnswerAt_});
     return before && period_->since > before->since;
 }
 
@@ -32,6 +33,12 @@
     }
 }
 
+void StoreAvailability::reset()
+{
+    period_.reset();
+    ownAnswerAt_.reset();
+}
+
 TimePoint StoreAvailability::answeringSince(TimePoint heardAt) const
 {
     return period_ ? std::min(heardAt, period_->since) : heardAt;
--- a/state/store_availability.h
+++ b/state/store_availability.h
@@ -46,11 +46,14 @@
     void merge(const AnsweringPeriod &period);
 
     /// Forgets everything, after this process was suspended and its clock may not have run.
-    void reset() { period_.reset(); }
+    void reset();
 
     /// @return the last known period; std::nullopt if none is known.
     const std::optional<AnsweringPeriod> &period() const { return period_; }
 
+    /// @return when this host itself was answered last; std::nullopt if that is unknown.
+    std::optional<TimePoint> ownAnswerAt() const { return ownAnswerAt_; }
+
     /// @return the start of the period in which this host heard of a change at @p heardAt;
     ///         @p heardAt if it is unknown or began later.
     TimePoint answeringSince(TimePoint heardAt) const;
@@ -58,6 +61,7 @@
 private:
     Duration toleratedGap_;
     std::optional<AnsweringPeriod> period_;
+    std::optional<TimePoint> ownAnswerAt_;
 };
 
 } // namespace persimmon::state
--- a/state/upstream_registry.cpp
+++ b/state/upstream_registry.cpp
@@ -53,19 +53,32 @@
     return heardAt && now >= store.answeringSince(*heardAt) + RemovalGracePeriod;
 }
 
-std::set<std::string> UpstreamRegistry::remove(const std::string &id, TimePoint now,
-                                               const StoreAvailability &store)
+RemovalReason UpstreamRegistry::removalReasonOf(const Upstream &upstream, TimePoint now,
+                                                const StoreAvailability &store)
+{
+    if (upstream.record.draining)
+        return RemovalReason::Draining;
+    if (isGraceOver(upstream, now, store))
+        return RemovalReason::StoreAnswers;
+    return store.period() ? RemovalReason::StoreOutage : RemovalReason::StoreUnknown;
+}
+
+std::optional<UpstreamRemoval> UpstreamRegistry::remove(const std::string &id, TimePoint now,
+                                                        const StoreAvailability &store)
 {
     const auto found = upstreams_.find(id);
     if (found == upstreams_.end() || found->second.removedAt)
-        return {};
-    const auto service = found->second.record.service;
-    found->second.removedAt = now;
-    if (found->second.record.draining || isGraceOver(found->second, now, store)) {
-        idsOfService_[service].erase(id);
+        return std::nullopt;
+    auto &upstream = found->second;
+    upstream.removedAt = now;
+    UpstreamRemoval removal{upstream.record.service, removalReasonOf(upstream, now, store)};
+    removal.isKept = removal.reason == RemovalReason::StoreOutage
+                     || removal.reason == RemovalReason::StoreUnknown;
+    if (!removal.isKept) {
+        idsOfService_[removal.service].erase(id);
         upstreams_.erase(found);
     }
-    return {service};
+    return removal;
 }
 
 std::set<std::string> UpstreamRegistry::setEvacuated(const std::string &domain, bool evacuated)
--- a/state/upstream_registry.h
+++ b/state/upstream_registry.h
@@ -5,6 +5,7 @@
 #include "state/routing_config.h"
 #include "state/store_availability.h"
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -46,6 +47,35 @@
     bool operator==(const SharedLimits &) const = default;
 };
 
+/// Why an upstream is left, or kept as a last resort, after its registration was removed.
+enum class RemovalReason {
+    Draining,
+    /// The store has answered all along.
+    StoreAnswers,
+    /// Nothing is known of the store's answers.
+    StoreUnknown,
+    /// The registration may have expired in an outage of the store.
+    StoreOutage,
+};
+
+inline constexpr std::array<EnumName<RemovalReason>, 4> RemovalReasonNames{{
+        {RemovalReason::Draining, "draining"},
+        {RemovalReason::StoreAnswers, "store_answers"},
+        {RemovalReason::StoreUnknown, "store_unknown"},
+        {RemovalReason::StoreOutage, "store_outage"},
+}};
+
+/// Decision on an upstream whose registration was removed.
+struct UpstreamRemoval
+{
+    std::string service;
+    RemovalReason reason = RemovalReason::Draining;
+    /// Whether the upstream is kept as a last resort.
+    bool isKept = false;
+
+    bool operator==(const UpstreamRemoval &) const = default;
+};
+
 /// Upstream that is no longer used after its registration was removed.
 struct ExpiredUpstream
 {
@@ -78,9 +108,9 @@
 
     /// Handles the removal of a record, or a record that cannot be decoded.
     /// @param store what is known of the store's outages at @p now.
-    /// @return the services whose settings changed.
-    std::set<std::string> remove(const std::string &id, TimePoint now,
-                                 const StoreAvailability &store);
+    /// @return the decision; std::nullopt if the upstream is unknown or was removed before.
+    std::optional<UpstreamRemoval> remove(const std::string &id, TimePoint now,
+                                          const StoreAvailability &store);
 
     /// Takes a failure domain out of service or returns it to service.
     /// @return the services whose settings changed.
@@ -91,9 +121,6 @@
     /// @return the removed upstreams.
     std::vector<ExpiredUpstream> expire(TimePoint now, const StoreAvailability &store);
 
-    /// @return whether an upstream is still known, after its removal as a last resort.
-    bool isKept(const std::string &id) const { return upstreams_.contains(id); }
-
     /// @return the number of removed upstreams in their grace period.
     std::size_t removedCount() const;
 
@@ -130,6 +157,8 @@
     };
 
     bool isUsable(const Upstream &upstream) const;
+    static RemovalReason removalReasonOf(const Upstream &upstream, TimePoint now,
+                                         const StoreAvailability &store);
     static bool isGraceOver(const Upstream &upstream, TimePoint now,
                             const StoreAvailability &store);
     static protocol::HostRecord toHostRecord(const UpstreamRecord &record);
--- a/tests/coordination/test_record_follower.cpp
+++ b/tests/coordination/test_record_follower.cpp
@@ -78,7 +78,7 @@
     fixture.write("config", "12");
     fixture.write("zone", "y");
     fixture.write("other", "o");
-    fixture.onWatch = [&] { fixture.follower().applyPeerDelta(delta); };
+    fixture.onWatch = [&] { fixture.follower().applyPeerDelta(delta, "peer"); };
     fixture.advance(3s);
     CHECK(fixture.shown
           == std::map<std::string, std::string>{
@@ -129,7 +129,7 @@
     FollowerFixture fixture;
     load(fixture);
     fixture.follower().applyPeerDelta(
-            {{{"config", 51, "12", 3, true}}, StorePosition{3, 51}, true, false});
+            {{{"config", 51, "12", 3, true}}, StorePosition{3, 51}, true, false}, "peer");
     fixture.historyStart = 0;
     const auto reads = fixture.reads;
     fixture.advance(10s);
@@ -212,7 +212,7 @@
     load(fixture);
     fixture.isAway = true;
     fixture.follower().applyPeerDelta(
-            {{{"config", 48, "10", 2, false}}, StorePosition{2, 48}, true, false});
+            {{{"config", 48, "10", 2, false}}, StorePosition{2, 48}, true, false}, "peer");
     CHECK(fixture.shown == Loaded);
     fixture.follower().observePeerPosition({2, 60}, true);
     CHECK_FALSE(fixture.mirror().isReconciled());
@@ -286,7 +286,8 @@
                                             {"zone", 51, "z", 1, true}},
                                            fixture.position,
                                            true,
-                                           false});
+                                           false},
+                                          "peer");
     };
     for (int i = 0; i < 100; ++i) {
         fixture.advance(Step);
--- a/tests/state/test_upstream_registry.cpp
+++ b/tests/state/test_upstream_registry.cpp
@@ -112,7 +112,8 @@
     // so ends later for a host that hears of it late.
     store.merge({1, Start, Start + seconds(60)});
     registry.update(makeRecord("a", "d1"), Start);
-    CHECK(registry.remove("a", Start + seconds(60), store) == std::set<std::string>{"s"});
+    CHECK(registry.remove("a", Start + seconds(60), store)
+          == UpstreamRemoval{"s", RemovalReason::StoreAnswers, false});
     CHECK(names().empty());
     CHECK(registry.size() == 0);
 }
