--- a/tests/state/test_upstream_registry.cpp
+++ b/tests/state/test_upstream_registry.cpp
@@ -144,6 +144,19 @@
           == std::vector<ExpiredUpstream>{{"a", "s", milliseconds(250)}});
 }
 
+TEST_CASE_FIXTURE(Fixture,
+                  "an upstream that is removed while the readers are silent is left at once")
+{
+    // Guards against hosts that take the silence of all hosts that read the store for its outage.
+    // The next host to read it is answered at once.
+    store.merge({1, Start, Start + seconds(60)});
+    const auto answeredAt = Start + seconds(63);
+    store.onAnswer(1, answeredAt, milliseconds(1), answeredAt + milliseconds(3));
+    registry.update(makeRecord("a", "d1"), Start);
+    registry.remove("a", answeredAt + milliseconds(3), store);
+    CHECK(names().empty());
+}
+
 TEST_CASE_FIXTURE(Fixture, "a draining upstream is removed without a grace period")
 {
     auto record = makeRecord("a", "d1");
--- a/tests/system/test_late_news.cpp
+++ b/tests/system/test_late_news.cpp
@@ -32,11 +32,11 @@
 /// Longer than the time between two calls of a host that reads the store.
 constexpr milliseconds ReaderProbeTime{2500};
 
-PlatformClusterOptions makeOptions()
+PlatformClusterOptions makeOptions(bool hasRegions)
 {
     PlatformClusterOptions options;
     options.hostCount = HostCount;
-    options.hasRegions = true;
+    options.hasRegions = hasRegions;
     options.serviceOf = {{"a1", "shard-a"}, {"b1", "shard-b"}, {Removed, "pay"}};
     return options;
 }
@@ -45,7 +45,9 @@
 class ArrivalRecorder
 {
 public:
-    ArrivalRecorder() : cluster_(withHandler(makeOptions()))
+    /// @param hasRegions whether the hosts are of RegionCount regions, or all of one.
+    explicit ArrivalRecorder(bool hasRegions = true)
+        : cluster_(withHandler(makeOptions(hasRegions)))
     {
         for (int host = 1; host <= HostCount; ++host)
             REQUIRE_MESSAGE(cluster_.waitUntilReady(host), cluster_.lastLogLine(host));
@@ -122,11 +124,20 @@
     /// Removes the upstream, and checks that no host but @p frozen uses it too long.
     void checkRemoval(const std::set<int> &frozen)
     {
-        std::this_thread::sleep_for(FaultLead);
-        const auto removedAt = Clock::now();
-        cluster_.deregisterUpstream(Removed);
-        callUntil(removedAt + FaultTime, frozen);
-        CHECK(latestAfter(removedAt) == milliseconds(0));
+        checkChange([this] { cluster_.deregisterUpstream(Removed); }, frozen);
+    }
+
+    /// The same for an upstream that reports that it drains.
+    void checkDrain(const std::set<int> &frozen)
+    {
+        checkChange([this] { cluster_.registerUpstream(Removed, "draining"); }, frozen);
+    }
+
+    /// Sends a signal to some hosts.
+    void signal(const std::set<int> &hosts, int number)
+    {
+        for (const int host : hosts)
+            cluster_.process(host).signal(number);
     }
 
     /// Registers the upstream again, once all hosts are in touch, and waits until all use it.
@@ -140,6 +151,16 @@
     }
 
 private:
+    /// @param change makes the store accept that the upstream leaves.
+    void checkChange(const std::function<void()> &change, const std::set<int> &frozen)
+    {
+        std::this_thread::sleep_for(FaultLead);
+        const auto changedAt = Clock::now();
+        change();
+        callUntil(changedAt + FaultTime, frozen);
+        CHECK(latestAfter(changedAt) == milliseconds(0));
+    }
+
     PlatformClusterOptions withHandler(PlatformClusterOptions options)
     {
         options.storeAddressFor = [this](int host, const std::string &address) {
@@ -173,17 +194,29 @@
 TEST_CASE("a removed upstream is left in time although the hosts that others follow stand still")
 {
     ArrivalRecorder recorder;
-    auto &cluster = recorder.cluster();
     for (int round = 0; round < Rounds; ++round) {
         const auto readers = recorder.readers();
         REQUIRE(readers.size() >= RegionCount);
         const std::set<int> frozen{readers[static_cast<std::size_t>(round) % readers.size()],
                                    readers[static_cast<std::size_t>(round + 1) % readers.size()]};
-        for (const int host : frozen)
-            cluster.process(host).signal(SIGSTOP);
+        recorder.signal(frozen, SIGSTOP);
+        recorder.checkRemoval(frozen);
+        recorder.signal(frozen, SIGCONT);
+        recorder.registerAgain();
+    }
+}
+
+// Guards against hosts that take the silence of all hosts that read the store for its outage.
+TEST_CASE("a removed upstream is left in time although all hosts that read the store stand still")
+{
+    ArrivalRecorder recorder;
+    for (int round = 0; round < Rounds; ++round) {
+        const auto readers = recorder.readers();
+        REQUIRE(readers.size() >= RegionCount);
+        const std::set<int> frozen(readers.begin(), readers.end());
+        recorder.signal(frozen, SIGSTOP);
         recorder.checkRemoval(frozen);
-        for (const int host : frozen)
-            cluster.process(host).signal(SIGCONT);
+        recorder.signal(frozen, SIGCONT);
         recorder.registerAgain();
     }
 }
