--- a/coordination/peer_exchange.cpp
+++ b/coordination/peer_exchange.cpp
@@ -309,18 +309,28 @@
         return std::chrono::ceil<std::chrono::milliseconds>(now - time);
     };
     message.storeAnswers = {period->era, ageOf(period->since), ageOf(period->until)};
+    if (period->outageSince)
+        message.storeAnswers->outageSince = ageOf(*period->outageSince);
+    if (const auto &failing = follower_.availability().failing())
+        message.storeAnswers->failing = {ageOf(failing->from), ageOf(failing->to)};
 }
 
 void PeerExchange::mergeStoreAnswers(const PeerMessage &reply, transport::TimePoint sentAt)
 {
     const auto &ages = reply.storeAnswers;
-    if (!ages) {
-        if (reply.delta)
-            follower_.resetAvailability();
+    if (!ages)
         return;
+    const auto now = runtime_.clock().now();
+    auto &availability = follower_.availability();
+    if (ages->failing) {
+        const auto from = now - ages->failing->from;
+        availability.merge(state::FailingSpan{from, std::max(from, sentAt - ages->failing->to)});
     }
-    const auto since = runtime_.clock().now() - ages->since;
-    follower_.mergeAvailability({ages->era, since, std::max(since, sentAt - ages->last)});
+    const auto since = now - ages->since;
+    state::AnsweringPeriod period{ages->era, since, std::max(since, sentAt - ages->last)};
+    if (ages->outageSince)
+        period.outageSince = now - *ages->outageSince;
+    availability.merge(period);
 }
 
 } // namespace persimmon::coordination
--- a/coordination/peer_message.cpp
+++ b/coordination/peer_message.cpp
@@ -38,6 +38,16 @@
     /// Hosts of later versions may add columns from here on.
     Later,
 };
+/// Array positions of the columns of what is known of the store's answers. The columns from
+/// OutageSince are left out if no outage and no failure is known.
+enum AnswerColumn {
+    AnswerEra,
+    AnswersSince,
+    LastAnswer,
+    OutageSince,
+    FailingFrom,
+    FailingTo,
+};
 /// Array positions of the columns of a store record. The value is null for a deleted key. The
 /// columns from Era are left out if the revision was assigned in the era of the message and no
 /// deleted write is known, those of the version if the deleted write has none.
@@ -166,21 +176,49 @@
     return report;
 }
 
-/// @param columns era, and the ages of the first and the last answer.
-StoreAnswerAges readStoreAnswers(const json::array &columns)
+std::chrono::milliseconds readAge(const json::value &column)
 {
-    const StoreAnswerAges ages{columns.at(0).to_number<std::uint64_t>(),
-                               std::chrono::milliseconds(columns.at(1).to_number<std::int64_t>()),
-                               std::chrono::milliseconds(columns.at(2).to_number<std::int64_t>())};
-    if (ages.last.count() < 0 || ages.since < ages.last || ages.since > MaxAnswerAge)
+    const std::chrono::milliseconds age(column.to_number<std::int64_t>());
+    if (age.count() < 0 || age > MaxAnswerAge)
         throw std::invalid_argument("an age of the store's answers is out of range");
+    return age;
+}
+
+json::value writeAge(std::chrono::milliseconds age)
+{
+    return std::min(age, MaxAnswerAge).count();
+}
+
+StoreAnswerAges readStoreAnswers(const json::array &columns)
+{
+    StoreAnswerAges ages;
+    ages.era = columns.at(AnswerEra).to_number<std::uint64_t>();
+    ages.since = readAge(columns.at(AnswersSince));
+    ages.last = readAge(columns.at(LastAnswer));
+    const auto has = [&columns](std::size_t column) {
+        return columns.size() > column && !columns.at(column).is_null();
+    };
+    if (has(OutageSince))
+        ages.outageSince = readAge(columns.at(OutageSince));
+    if (has(FailingTo))
+        ages.failing = {readAge(columns.at(FailingFrom)), readAge(columns.at(FailingTo))};
+    if (ages.since < ages.last || ages.outageSince.value_or(ages.since) < ages.since
+        || (ages.failing && ages.failing->from < ages.failing->to))
+        throw std::invalid_argument("the ages of the store's answers are out of order");
     return ages;
 }
 
 json::array writeStoreAnswers(const StoreAnswerAges &ages)
 {
-    return {ages.era, std::min(ages.since, MaxAnswerAge).count(),
-            std::min(ages.last, MaxAnswerAge).count()};
+    json::array columns{ages.era, writeAge(ages.since), writeAge(ages.last)};
+    if (!ages.outageSince && !ages.failing)
+        return columns;
+    columns.emplace_back(ages.outageSince ? writeAge(*ages.outageSince) : json::value(nullptr));
+    if (!ages.failing)
+        return columns;
+    columns.emplace_back(writeAge(ages.failing->from));
+    columns.emplace_back(writeAge(ages.failing->to));
+    return columns;
 }
 
 /// Reads the rows of a list. One that can't be read is left out and logged.
--- a/coordination/peer_message.h
+++ b/coordination/peer_message.h
@@ -13,6 +13,15 @@
 
 namespace persimmon::coordination {
 
+/// Ages of state::FailingSpan.
+struct FailingAges
+{
+    std::chrono::milliseconds from{0};
+    std::chrono::milliseconds to{0};
+
+    bool operator==(const FailingAges &) const = default;
+};
+
 /// What a host knows of the store's answers, as times before the message.
 struct StoreAnswerAges
 {
@@ -21,6 +30,10 @@
     std::chrono::milliseconds since{0};
     /// Age of the last known answer.
     std::chrono::milliseconds last{0};
+    /// Age of state::AnsweringPeriod::outageSince. Hosts of earlier versions leave it out.
+    std::optional<std::chrono::milliseconds> outageSince = std::nullopt;
+    /// Failures since the last answer. Hosts of earlier versions leave them out.
+    std::optional<FailingAges> failing = std::nullopt;
 
     bool operator==(const StoreAnswerAges &) const = default;
 };
--- a/coordination/record_follower.cpp
+++ b/coordination/record_follower.cpp
@@ -128,7 +128,7 @@
         sentAt = runtime_.clock().now();
         auto result = co_await store_.readPage(after);
         if (!isOk(result)) {
-            setConnected(false, errorOf(result));
+            onStoreFailure(errorOf(result));
             co_return false;
         }
         auto page = takeValue(result);
@@ -173,7 +173,7 @@
     auto result = co_await store_.watch(after.revision, wait);
     if (!isOk(result)) {
         needsSnapshot_ = errorOf(result) == StoreFailure::HistoryGone;
-        setConnected(false, errorOf(result));
+        onStoreFailure(errorOf(result));
         // After a watch fails for lack of history, the complete read starts without a retry delay.
         co_return needsSnapshot_;
     }
@@ -196,13 +196,22 @@
     co_return true;
 }
 
+void RecordFollower::onStoreFailure(StoreFailure reason)
+{
+    // A store that no longer has the history has answered.
+    if (reason != StoreFailure::HistoryGone)
+        availability_.onFailure(runtime_.clock().now());
+    setConnected(false, reason);
+}
+
 void RecordFollower::onStoreAnswer(const state::StorePosition &asOf, transport::TimePoint sentAt,
                                    std::chrono::milliseconds wait)
 {
     storeAnsweredAt_ = runtime_.clock().now();
     if (!availability_.onAnswer(asOf.era, sentAt, wait, storeAnsweredAt_))
         return;
-    log(transport::LogLevel::Info, "store answers again; asking peers whether it had an outage");
+    log(transport::LogLevel::Info, "store answers again; asking peers whether it had an outage",
+        {{"outage", availability_.outageEnd() ? "yes" : "no"}});
     peers_.onStoreReturn();
 }
 
--- a/coordination/record_follower.h
+++ b/coordination/record_follower.h
@@ -133,11 +133,10 @@
     /// @return when the store is known to have answered this host or a peer.
     const state::StoreAvailability &availability() const { return availability_; }
 
-    /// Adds what a peer knows of the store's answers.
-    void mergeAvailability(const state::AnsweringPeriod &period) { availability_.merge(period); }
+    /// @return the same, to add what a peer knows.
+    state::StoreAvailability &availability() { return availability_; }
 
-    /// Forgets when the store answered, after this process was suspended or has received records
-    /// from a peer that doesn't tell.
+    /// Forgets when the store answered, after this process was suspended.
     void resetAvailability() { availability_.reset(); }
 
 private:
@@ -149,6 +148,8 @@
     void reconcile();
     /// Logs a new era of the store and schedules the reconciliation.
     void onMirrorUpdated();
+    /// Records a call that the store has not answered.
+    void onStoreFailure(StoreFailure reason);
     /// Records an answer of the store to a call that was sent at @p sentAt and held for @p wait.
     void onStoreAnswer(const state::StorePosition &asOf, transport::TimePoint sentAt,
                        std::chrono::milliseconds wait);
--- a/state/upstream_registry.cpp
+++ b/state/upstream_registry.cpp
@@ -49,8 +49,10 @@
 bool UpstreamRegistry::isGraceOver(const Upstream &upstream, TimePoint now,
                                    const StoreAvailability &store)
 {
-    const auto heardAt = upstream.removedAt;
-    return heardAt && now >= store.answeringSince(*heardAt) + RemovalGracePeriod;
+    if (!upstream.removedAt)
+        return false;
+    const auto outageEnd = store.outageEnd();
+    return !outageEnd || now >= std::min(*outageEnd, *upstream.removedAt) + RemovalGracePeriod;
 }
 
 RemovalReason UpstreamRegistry::removalReasonOf(const Upstream &upstream, TimePoint now,
@@ -58,9 +60,9 @@
 {
     if (upstream.record.draining)
         return RemovalReason::Draining;
-    if (isGraceOver(upstream, now, store))
-        return RemovalReason::StoreAnswers;
-    return store.period() ? RemovalReason::StoreOutage : RemovalReason::StoreUnknown;
+    if (!isGraceOver(upstream, now, store))
+        return RemovalReason::StoreOutage;
+    return store.period() ? RemovalReason::StoreAnswers : RemovalReason::StoreUnknown;
 }
 
 std::optional<UpstreamRemoval> UpstreamRegistry::remove(const std::string &id, TimePoint now,
@@ -72,8 +74,7 @@
     auto &upstream = found->second;
     upstream.removedAt = now;
     UpstreamRemoval removal{upstream.record.service, removalReasonOf(upstream, now, store)};
-    removal.isKept = removal.reason == RemovalReason::StoreOutage
-                     || removal.reason == RemovalReason::StoreUnknown;
+    removal.isKept = removal.reason == RemovalReason::StoreOutage;
     if (!removal.isKept) {
         idsOfService_[removal.service].erase(id);
         upstreams_.erase(found);
--- a/state/upstream_registry.h
+++ b/state/upstream_registry.h
@@ -50,7 +50,7 @@
 /// Why an upstream is left, or kept as a last resort, after its registration was removed.
 enum class RemovalReason {
     Draining,
-    /// The store has answered all along.
+    /// No outage of the store is known, or the last one is over for long enough.
     StoreAnswers,
     /// Nothing is known of the store's answers.
     StoreUnknown,
@@ -94,7 +94,7 @@
     /// Time after the store answers again for which an upstream whose record is removed without
     /// draining stays usable as a last resort: records expire during an outage of the store and
     /// reappear within two seconds of its end. The record of an upstream that is removed while the
-    /// store answers does not return.
+    /// store answers does not return, so an upstream is kept only if an outage is known.
     static constexpr std::chrono::milliseconds RemovalGracePeriod{2200};
 
     explicit UpstreamRegistry(std::map<std::string, std::string> regionOfDomain)
