--- a/host/host_daemon.cpp
+++ b/host/host_daemon.cpp
@@ -83,11 +83,7 @@
       forwarder_(runtime, metrics_, forwardingClient_, services_, crashGate_, path_, relay_,
                  makeForwarderOptions()),
       follower_(runtime, hooks_.store,
-                {[this] {
-                     return state::selectStoreSource(
-                             membership_.responsiveMembers(runtime_.clock().now()),
-                             options_.controlAddress);
-                 },
+                {[this] { return membership_.storeSource(runtime_.clock().now()); },
                  [this](std::string peer, state::StorePosition after) {
                      return exchange_.watchPeer(std::move(peer), after);
                  },
@@ -142,9 +138,8 @@
 
 RecordApplier HostDaemon::makeRecordApplier()
 {
-    const RecordApplier::Components components{runtime_,          registry_,  services_,
-                                               forwardingClient_, forwarder_, follower_,
-                                               metrics_};
+    const RecordApplier::Components components{runtime_,   registry_, services_, forwardingClient_,
+                                               forwarder_, follower_, metrics_};
     return {components, hooks_.decodeRecord, [this](const state::CallerLimits &limits) {
                 frontendServer_.setLimits(limits);
                 relayServer_.setLimits(withPeerFields(limits));
--- a/state/entry_membership.cpp
+++ b/state/entry_membership.cpp
@@ -227,16 +227,15 @@
         found->second.suspectedAt = now;
 }
 
-std::vector<MemberState> EntryMembership::responsiveMembers(TimePoint now) const
+StoreSource EntryMembership::storeSource(TimePoint now) const
 {
-    auto members = liveMembers();
-    std::erase_if(members, [&](const MemberState &member) {
-        const auto found = peers_.find(member.control);
-        if (found == peers_.end() || !found->second.suspectedAt)
-            return false;
-        return now - *found->second.suspectedAt < HeartbeatTimeout;
-    });
-    return members;
+    auto source = selectStoreSource(liveMembers(), self_.control);
+    const auto found = peers_.find(source.peer);
+    const bool isSuspected = found != peers_.end() && found->second.suspectedAt
+                             && now - *found->second.suspectedAt < HeartbeatTimeout;
+    if (isSuspected)
+        source = {true, {}};
+    return source;
 }
 
 std::vector<MemberState> EntryMembership::membersFor(const std::string &peer) const
--- a/state/entry_membership.h
+++ b/state/entry_membership.h
@@ -68,6 +68,17 @@
 /// @return a 32-bit hash of the control address that identifies a host within one system.
 std::uint32_t hostId(const std::string &control);
 
+/// Source from which a host reads the contents of the platform's store.
+struct StoreSource
+{
+    /// Whether the host reads the store directly.
+    bool readsStore = false;
+    /// Control address of the host whose copy is followed otherwise.
+    std::string peer;
+
+    bool operator==(const StoreSource &) const = default;
+};
+
 /// Tracks which hosts of the system are live, by heartbeats that are gossiped between hosts.
 class EntryMembership
 {
@@ -135,9 +146,10 @@
     /// its heartbeat timeout has elapsed.
     void suspect(const std::string &control, TimePoint now);
 
-    /// @return liveMembers() without the peers that were suspected within HeartbeatTimeout: peers
-    ///         that this host may rely on for what it needs at once.
-    std::vector<MemberState> responsiveMembers(TimePoint now) const;
+    /// @return the source of store records according to selectStoreSource(), or the store itself
+    ///         if the selected peer was suspected within HeartbeatTimeout: the next peer may stand
+    ///         still as well, and each that does delays the news by another timeout.
+    StoreSource storeSource(TimePoint now) const;
 
     /// @return liveMembers() and the last state of @p peer even if it is dead, since a host that
     ///         restarted with a lower incarnation needs its old state to choose a higher one.
@@ -194,17 +206,6 @@
     std::map<std::string, Peer> peers_;
 };
 
-/// Source from which a host reads the contents of the platform's store.
-struct StoreSource
-{
-    /// Whether the host reads the store directly.
-    bool readsStore = false;
-    /// Control address of the host whose copy is followed otherwise.
-    std::string peer;
-
-    bool operator==(const StoreSource &) const = default;
-};
-
 /// Selects the host's source of store records, so that the number of calls to the store does not
 /// grow with the number of hosts. StoreReaderCount hosts read the store, one in each region if
 /// possible, and ReadersPerUnreachable more for each host that cannot reach it, so that a host that
--- a/tests/coordination/test_record_propagation.cpp
+++ b/tests/coordination/test_record_propagation.cpp
@@ -80,10 +80,7 @@
     PeerHooks peerHooks()
     {
         PeerHooks hooks;
-        hooks.source = [this] {
-            return state::selectStoreSource(membership_.responsiveMembers(runtime_.clock().now()),
-                                            membership_.self().control);
-        };
+        hooks.source = [this] { return membership_.storeSource(runtime_.clock().now()); };
         hooks.watch = [this](std::string peer, state::StorePosition after) {
             return exchange_.watchPeer(std::move(peer), after);
         };
--- a/tests/state/test_entry_membership.cpp
+++ b/tests/state/test_entry_membership.cpp
@@ -277,9 +277,7 @@
 {
     EntryMembership membership(makeMember("b"));
     membership.merge({makeMember("a"), makeMember("c", "r2"), makeMember("d", "r3")}, Start);
-    const auto sourceAt = [&](TimePoint now) {
-        return selectStoreSource(membership.responsiveMembers(now), "b");
-    };
+    const auto sourceAt = [&](TimePoint now) { return membership.storeSource(now); };
     CHECK(sourceAt(Start) == StoreSource{false, "a"});
     membership.suspect("a", Start);
     CHECK(sourceAt(Start) == StoreSource{true, ""});
@@ -299,6 +297,22 @@
     CHECK(sourceAt(Start + seconds(10)) == StoreSource{false, "a"});
 }
 
+// Guards against a host whose source stands still and that then waits for another host which stands
+// still as well.
+TEST_CASE("a host whose source does not answer reads the store and not another peer")
+{
+    EntryMembership membership(makeMember("g"));
+    for (const auto *peer : {"a", "b", "c", "d", "e", "f"})
+        membership.merge({makeMember(peer)}, Start);
+    CHECK(membership.storeSource(Start) == StoreSource{false, "a"});
+    membership.suspect("a", Start);
+    CHECK(membership.storeSource(Start) == StoreSource{true, ""});
+    // Another peer does not matter.
+    membership.suspect("b", Start + EntryMembership::HeartbeatTimeout);
+    CHECK(membership.storeSource(Start + EntryMembership::HeartbeatTimeout)
+          == StoreSource{false, "a"});
+}
+
 // Guards against hosts that forget where another one takes requests, or that it is cut from its
 // upstreams, when a host of an earlier version relays its state.
 TEST_CASE("a state that a host of an earlier version relays does not hide what the owner said")
--- a/tests/system/test_late_news.cpp
+++ b/tests/system/test_late_news.cpp
@@ -32,10 +32,10 @@
 /// Longer than the time between two calls of a host that reads the store.
 constexpr milliseconds ReaderProbeTime{2500};
 
-PlatformClusterOptions makeOptions(bool hasRegions)
+PlatformClusterOptions makeOptions(int hostCount, bool hasRegions)
 {
     PlatformClusterOptions options;
-    options.hostCount = HostCount;
+    options.hostCount = hostCount;
     options.hasRegions = hasRegions;
     options.serviceOf = {{"a1", "shard-a"}, {"b1", "shard-b"}, {Removed, "pay"}};
     return options;
@@ -46,14 +46,14 @@
 {
 public:
     /// @param hasRegions whether the hosts are of RegionCount regions, or all of one.
-    explicit ArrivalRecorder(bool hasRegions = true)
-        : cluster_(withHandler(makeOptions(hasRegions)))
+    explicit ArrivalRecorder(int hostCount = HostCount, bool hasRegions = true)
+        : cluster_(withHandler(makeOptions(hostCount, hasRegions)))
     {
-        for (int host = 1; host <= HostCount; ++host)
+        for (int host = 1; host <= hostCount; ++host)
             REQUIRE_MESSAGE(cluster_.waitUntilReady(host), cluster_.lastLogLine(host));
         REQUIRE(cluster_.waitUntil([&] {
-            for (int host = 1; host <= HostCount; ++host) {
-                if (metricOf(host, "persimmon_live_hosts") != HostCount)
+            for (int host = 1; host <= hostCount; ++host) {
+                if (metricOf(host, "persimmon_live_hosts") != hostCount)
                     return false;
             }
             return true;
@@ -76,11 +76,11 @@
     std::vector<int> readers() const
     {
         std::map<int, double> before;
-        for (int host = 1; host <= HostCount; ++host)
+        for (int host = 1; host <= cluster_.hostCount(); ++host)
             before[host] = metricOf(host, "persimmon_store_calls_total");
         std::this_thread::sleep_for(ReaderProbeTime);
         std::vector<int> readers;
-        for (int host = 1; host <= HostCount; ++host) {
+        for (int host = 1; host <= cluster_.hostCount(); ++host) {
             if (metricOf(host, "persimmon_store_calls_total") > before.at(host))
                 readers.push_back(host);
         }
@@ -94,7 +94,7 @@
     void callUntil(Clock::time_point end, const std::set<int> &silent)
     {
         std::vector<std::thread> callers;
-        for (int host = 1; host <= HostCount; ++host) {
+        for (int host = 1; host <= cluster_.hostCount(); ++host) {
             if (silent.contains(host))
                 continue;
             callers.emplace_back([this, host, end] {
@@ -145,7 +145,7 @@
     {
         std::this_thread::sleep_for(ContactTime);
         cluster_.registerRestart(Removed);
-        for (int host = 1; host <= HostCount; ++host)
+        for (int host = 1; host <= cluster_.hostCount(); ++host)
             REQUIRE(cluster_.waitUntil(
                     [&] { return statusOf(cluster_.call(host, "/one/q")) == 200; }));
     }
@@ -221,6 +221,21 @@
     }
 }
 
+// Guards against a host whose source stands still and that then waits for another host which stands
+// still as well.
+TEST_CASE("a draining upstream is left in time although half of the hosts stand still")
+{
+    constexpr int AllHosts = 10;
+    ArrivalRecorder recorder(AllHosts, false);
+    const auto readers = recorder.readers();
+    std::set<int> frozen(readers.begin(), readers.end());
+    for (int host = 1; static_cast<int>(frozen.size()) < AllHosts / 2; ++host)
+        frozen.insert(host);
+    recorder.signal(frozen, SIGSTOP);
+    recorder.checkDrain(frozen);
+    recorder.signal(frozen, SIGCONT);
+}
+
 // Guards against hosts that take it for an outage of the store if it turns away only those that
 // read it.
 TEST_CASE("a removed upstream is left in time although the store turns away the hosts that read it")
