--- a/coordination/peer_exchange.cpp
+++ b/coordination/peer_exchange.cpp
@@ -174,8 +174,10 @@
 std::chrono::milliseconds PeerExchange::watchHoldOf(const std::string &peer) const
 {
     const auto found = peers_.find(peer);
-    const bool isCurrent = found != peers_.end() && found->second->tellsStoreAnswers;
-    return isCurrent ? WatchHold : EarlierWatchHold;
+    // A peer that has not said anything yet may stand still.
+    const bool isEarlier =
+            found != peers_.end() && !found->second->tellsStoreAnswers.value_or(true);
+    return isEarlier ? EarlierWatchHold : WatchHold;
 }
 
 bool PeerExchange::mayRequestRecords(const std::string &peer) const
--- a/coordination/peer_exchange.h
+++ b/coordination/peer_exchange.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -69,8 +70,9 @@
         bool inProgress = false;
         transport::TimePoint retryAt{};
         int failures = 0;
-        /// Whether the last reply told of the store's answers, as hosts of earlier versions do not.
-        bool tellsStoreAnswers = false;
+        /// Whether the last reply told of the store's answers, as hosts of earlier versions do not;
+        /// std::nullopt before the first reply.
+        std::optional<bool> tellsStoreAnswers;
     };
 
     boost::asio::awaitable<void> run();
