--- a/tests/system/platform_cluster.cpp
+++ b/tests/system/platform_cluster.cpp
@@ -4,6 +4,7 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -252,4 +253,14 @@
     return upstreams_.at(id)->requests().size();
 }
 
+std::size_t PlatformCluster::receivedRequestCount(const std::string &id,
+                                                  const std::string &prefix) const
+{
+    const auto requests = upstreams_.at(id)->requests();
+    return static_cast<std::size_t>(
+            std::count_if(requests.begin(), requests.end(), [&prefix](const std::string &request) {
+                return fieldOf(request, "X-Request-Id").starts_with(prefix);
+            }));
+}
+
 } // namespace persimmon::tests
--- a/tests/system/platform_cluster.h
+++ b/tests/system/platform_cluster.h
@@ -135,6 +135,9 @@
     /// @return number of requests that an upstream received.
     std::size_t receivedRequestCount(const std::string &id) const;
 
+    /// @return number of requests with an id that begins with @p prefix that an upstream received.
+    std::size_t receivedRequestCount(const std::string &id, const std::string &prefix) const;
+
 private:
     struct Ports
     {
