--- a/coordination/coordination.h
+++ b/coordination/coordination.h
@@ -14,6 +14,7 @@
 #include "coordination/peer_message.h"
 #include "coordination/record_follower.h"
 #include "coordination/shared_view_store.h"
+#include "coordination/store_answers.h"
 #include "coordination/view_agent.h"
 #include "coordination/view_client.h"
 #include "coordination/view_exchange.h"
--- a/coordination/peer_exchange.cpp
+++ b/coordination/peer_exchange.cpp
@@ -303,36 +303,13 @@
 {
     message.position = follower_.mirror().position();
     message.isReconciled = follower_.mirror().isReconciled();
-    const auto &period = follower_.availability().period();
-    if (!period)
-        return;
-    const auto now = runtime_.clock().now();
-    const auto ageOf = [now](transport::TimePoint time) {
-        return std::chrono::ceil<std::chrono::milliseconds>(now - time);
-    };
-    message.storeAnswers = {period->era, ageOf(period->since), ageOf(period->until)};
-    if (period->outageSince)
-        message.storeAnswers->outageSince = ageOf(*period->outageSince);
-    if (const auto &failing = follower_.availability().failing())
-        message.storeAnswers->failing = {ageOf(failing->from), ageOf(failing->to)};
+    message.storeAnswers = toAges(follower_.availability(), runtime_.clock().now());
 }
 
 void PeerExchange::mergeStoreAnswers(const PeerMessage &reply, transport::TimePoint sentAt)
 {
-    const auto &ages = reply.storeAnswers;
-    if (!ages)
-        return;
-    const auto now = runtime_.clock().now();
-    auto &availability = follower_.availability();
-    if (ages->failing) {
-        const auto from = now - ages->failing->from;
-        availability.merge(state::FailingSpan{from, std::max(from, sentAt - ages->failing->to)});
-    }
-    const auto since = now - ages->since;
-    state::AnsweringPeriod period{ages->era, since, std::max(since, sentAt - ages->last)};
-    if (ages->outageSince)
-        period.outageSince = now - *ages->outageSince;
-    availability.merge(period);
+    if (reply.storeAnswers)
+        mergeAges(*reply.storeAnswers, sentAt, runtime_.clock().now(), follower_.availability());
 }
 
 } // namespace persimmon::coordination
--- a/coordination/peer_exchange.h
+++ b/coordination/peer_exchange.h
@@ -92,8 +92,7 @@
     void addStoreState(PeerMessage &message) const;
     /// Merges what the sender of a reply knows of the store's answers. Must be called before the
     /// records of the reply are applied.
-    /// @param sentAt when this host sent the request. The reply was written later, but if this
-    ///        process has stood still since, possibly long before it is read.
+    /// @param sentAt when this host sent the request.
     void mergeStoreAnswers(const PeerMessage &reply, transport::TimePoint sentAt);
     void recordFailure(const std::string &peer, PeerState &state, const std::string &reason);
 
--- a/coordination/peer_message.cpp
+++ b/coordination/peer_message.cpp
@@ -17,9 +17,6 @@
 constexpr double MaxRequestLimit = 1e9;
 /// Longest fields of a later version that are relayed for a host.
 constexpr std::size_t MaxLaterBytes = 256;
-/// Longer ages of the store's answers are sent as this age, which makes no difference.
-constexpr std::chrono::milliseconds MaxAnswerAge{std::chrono::hours(1)};
-
 /// Array positions of the columns of a member state.
 enum MemberColumn {
     Control,
@@ -38,16 +35,6 @@
     /// Hosts of later versions may add columns from here on.
     Later,
 };
-/// Array positions of the columns of what is known of the store's answers. The columns from
-/// OutageSince are left out if no outage and no failure is known.
-enum AnswerColumn {
-    AnswerEra,
-    AnswersSince,
-    LastAnswer,
-    OutageSince,
-    FailingFrom,
-    FailingTo,
-};
 /// Array positions of the columns of a store record. The value is null for a deleted key. The
 /// columns from Era are left out if the revision was assigned in the era of the message and no
 /// deleted write is known, those of the version if the deleted write has none.
@@ -176,51 +163,6 @@
     return report;
 }
 
-std::chrono::milliseconds readAge(const json::value &column)
-{
-    const std::chrono::milliseconds age(column.to_number<std::int64_t>());
-    if (age.count() < 0 || age > MaxAnswerAge)
-        throw std::invalid_argument("an age of the store's answers is out of range");
-    return age;
-}
-
-json::value writeAge(std::chrono::milliseconds age)
-{
-    return std::min(age, MaxAnswerAge).count();
-}
-
-StoreAnswerAges readStoreAnswers(const json::array &columns)
-{
-    StoreAnswerAges ages;
-    ages.era = columns.at(AnswerEra).to_number<std::uint64_t>();
-    ages.since = readAge(columns.at(AnswersSince));
-    ages.last = readAge(columns.at(LastAnswer));
-    const auto has = [&columns](std::size_t column) {
-        return columns.size() > column && !columns.at(column).is_null();
-    };
-    if (has(OutageSince))
-        ages.outageSince = readAge(columns.at(OutageSince));
-    if (has(FailingTo))
-        ages.failing = {readAge(columns.at(FailingFrom)), readAge(columns.at(FailingTo))};
-    if (ages.since < ages.last || ages.outageSince.value_or(ages.since) < ages.since
-        || (ages.failing && ages.failing->from < ages.failing->to))
-        throw std::invalid_argument("the ages of the store's answers are out of order");
-    return ages;
-}
-
-json::array writeStoreAnswers(const StoreAnswerAges &ages)
-{
-    json::array columns{ages.era, writeAge(ages.since), writeAge(ages.last)};
-    if (!ages.outageSince && !ages.failing)
-        return columns;
-    columns.emplace_back(ages.outageSince ? writeAge(*ages.outageSince) : json::value(nullptr));
-    if (!ages.failing)
-        return columns;
-    columns.emplace_back(writeAge(ages.failing->from));
-    columns.emplace_back(writeAge(ages.failing->to));
-    return columns;
-}
-
 /// Reads the rows of a list. One that can't be read is left out and logged.
 template <typename Row>
 std::vector<Row> readRows(const json::array &list, Row (*read)(const json::array &))
--- a/coordination/peer_message.h
+++ b/coordination/peer_message.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/coordination_error.h"
+#include "coordination/store_answers.h"
 #include "state/crash_evidence.h"
 #include "state/entry_membership.h"
 #include "state/record_mirror.h"
@@ -13,31 +14,6 @@
 
 namespace persimmon::coordination {
 
-/// Ages of state::FailingSpan.
-struct FailingAges
-{
-    std::chrono::milliseconds from{0};
-    std::chrono::milliseconds to{0};
-
-    bool operator==(const FailingAges &) const = default;
-};
-
-/// What a host knows of the store's answers, as times before the message.
-struct StoreAnswerAges
-{
-    std::uint64_t era = 0;
-    /// Age of state::AnsweringPeriod::since.
-    std::chrono::milliseconds since{0};
-    /// Age of the last known answer.
-    std::chrono::milliseconds last{0};
-    /// Age of state::AnsweringPeriod::outageSince. Hosts of earlier versions leave it out.
-    std::optional<std::chrono::milliseconds> outageSince = std::nullopt;
-    /// Failures since the last answer. Hosts of earlier versions leave them out.
-    std::optional<FailingAges> failing = std::nullopt;
-
-    bool operator==(const StoreAnswerAges &) const = default;
-};
-
 /// Request or reply exchanged between two hosts.
 struct PeerMessage
 {
