Name the outage that keeps a removed upstream in the log

The line 'upstream removed' told the ages of the known answers but not of the outage that 'store_outage' rests on. No decision changes; test_host passes as before.

--- a/host/record_applier.cpp
+++ b/host/record_applier.cpp
@@ -78,6 +78,7 @@
     };
     const auto since = period ? std::optional(period->since) : std::nullopt;
     const auto until = period ? std::optional(period->until) : std::nullopt;
+    const auto outageSince = period ? period->outageSince : std::nullopt;
     log("upstream removed",
         {{"upstream", upstream},
          {"service", removal.service},
@@ -86,6 +87,7 @@
          {"source", follower.recordSource().empty() ? "store" : follower.recordSource()},
          {"store_answers_since_ms", ageOf(since)},
          {"store_answered_ms", ageOf(until)},
+         {"store_outage_since_ms", ageOf(outageSince)},
          {"own_answer_ms", ageOf(store.ownAnswerAt())}});
 }
 
--- a/state/store_availability.h
+++ b/state/store_availability.h
@@ -74,9 +74,7 @@
     /// @return the last known period; std::nullopt if none is known.
     const std::optional<AnsweringPeriod> &period() const { return period_; }
 
-    /// @return when calls are known to have failed since the last known answer; std::nullopt if
-    /// none
-    ///         has.
+    /// @return when calls are known to have failed since the last known answer, if any.
     const std::optional<FailingSpan> &failing() const { return failing_; }
 
     /// @return when this host itself was answered last; std::nullopt if that is unknown.
