--- a/tests/system/test_late_news.cpp
+++ b/tests/system/test_late_news.cpp
@@ -25,6 +25,8 @@
 /// Time for which a fault lasts. Shorter than the time after which hosts count as dead.
 constexpr milliseconds FaultTime{3400};
 constexpr milliseconds FaultLead{100};
+/// Longer than the time from which a host that stands still forgets what it knows of the store.
+constexpr milliseconds StallTime{1200};
 constexpr int Rounds = 3;
 /// Time after a fault from which all hosts are in touch again.
 constexpr seconds ContactTime{4};
@@ -221,6 +223,35 @@
     }
 }
 
+// Guards against hosts that leave a removed upstream in time only on a fast machine.
+TEST_CASE("a removed upstream is left in time although each call to the store is slow and hosts "
+          "stall")
+{
+    ArrivalRecorder recorder;
+    for (int host = 1; host <= HostCount; ++host)
+        recorder.setStorePath(host, ProxyMode::Delay);
+    for (int round = 0; round < Rounds; ++round) {
+        const auto readers = recorder.readers();
+        REQUIRE(readers.size() >= RegionCount);
+        const std::set<int> frozen(readers.begin(), readers.end());
+        int stalled = 1 + round;
+        while (frozen.contains(stalled))
+            ++stalled;
+        recorder.signal(frozen, SIGSTOP);
+        std::thread stall([&] {
+            recorder.signal({stalled}, SIGSTOP);
+            std::this_thread::sleep_for(StallTime);
+            recorder.signal({stalled}, SIGCONT);
+        });
+        auto silent = frozen;
+        silent.insert(stalled);
+        recorder.checkRemoval(silent);
+        stall.join();
+        recorder.signal(frozen, SIGCONT);
+        recorder.registerAgain();
+    }
+}
+
 // Guards against a host whose source stands still and that then waits for another host which stands
 // still as well.
 TEST_CASE("a draining upstream is left in time although half of the hosts stand still")
