--- a/tests/system/test_late_news.cpp
+++ b/tests/system/test_late_news.cpp
@@ -86,6 +86,7 @@
             if (metricOf(host, "persimmon_store_calls_total") > before.at(host))
                 readers.push_back(host);
         }
+        REQUIRE(readers.size() >= RegionCount);
         return readers;
     }
 
@@ -135,6 +136,15 @@
         checkChange([this] { cluster_.registerUpstream(Removed, "draining"); }, frozen);
     }
 
+    /// Removes the upstream while hosts stand still, and registers it again.
+    void checkRemovalDuringFreeze(const std::set<int> &frozen)
+    {
+        signal(frozen, SIGSTOP);
+        checkRemoval(frozen);
+        signal(frozen, SIGCONT);
+        registerAgain();
+    }
+
     /// Sends a signal to some hosts.
     void signal(const std::set<int> &hosts, int number)
     {
@@ -198,13 +208,9 @@
     ArrivalRecorder recorder;
     for (int round = 0; round < Rounds; ++round) {
         const auto readers = recorder.readers();
-        REQUIRE(readers.size() >= RegionCount);
         const std::set<int> frozen{readers[static_cast<std::size_t>(round) % readers.size()],
                                    readers[static_cast<std::size_t>(round + 1) % readers.size()]};
-        recorder.signal(frozen, SIGSTOP);
-        recorder.checkRemoval(frozen);
-        recorder.signal(frozen, SIGCONT);
-        recorder.registerAgain();
+        recorder.checkRemovalDuringFreeze(frozen);
     }
 }
 
@@ -214,12 +220,8 @@
     ArrivalRecorder recorder;
     for (int round = 0; round < Rounds; ++round) {
         const auto readers = recorder.readers();
-        REQUIRE(readers.size() >= RegionCount);
         const std::set<int> frozen(readers.begin(), readers.end());
-        recorder.signal(frozen, SIGSTOP);
-        recorder.checkRemoval(frozen);
-        recorder.signal(frozen, SIGCONT);
-        recorder.registerAgain();
+        recorder.checkRemovalDuringFreeze(frozen);
     }
 }
 
@@ -232,7 +234,6 @@
         recorder.setStorePath(host, ProxyMode::Delay);
     for (int round = 0; round < Rounds; ++round) {
         const auto readers = recorder.readers();
-        REQUIRE(readers.size() >= RegionCount);
         const std::set<int> frozen(readers.begin(), readers.end());
         int stalled = 1 + round;
         while (frozen.contains(stalled))
@@ -274,7 +275,6 @@
     ArrivalRecorder recorder;
     for (int round = 0; round < Rounds; ++round) {
         const auto readers = recorder.readers();
-        REQUIRE(readers.size() >= RegionCount);
         for (const int host : readers)
             recorder.setStorePath(host, ProxyMode::HoldFromTarget);
         recorder.checkRemoval({});
