Count a configuration in the soak from its effect at an upstream

Cause: the soak took any response but 404 for a sign that a host serves a version. A host that starts sends 503 before it has a configuration, so a version that the process had never held counted as its own, and the older one that it then loaded as a step back.

Ruled out, by the logs of the hosts and of the writers: a host that goes back (no process applied a lower version than it had), and a store that never gets version 2 again (rewritten after each restore).

Change: as the rule says, a version counts once a server has seen its effect: an upstream has received a part of the request. That is stricter for requests without a response, which did not count, and begins at the arrival in place of the response; refusals no longer count.

--- a/tests/soak/invariant_checker.cpp
+++ b/tests/soak/invariant_checker.cpp
@@ -61,7 +61,9 @@
 void InvariantChecker::recordArrival(const std::string &request, const std::string &upstream)
 {
     const std::lock_guard lock(mutex_);
-    arrivals_.push_back({request, upstream, Clock::now()});
+    const auto now = Clock::now();
+    arrivals_.push_back({request, upstream, now});
+    firstArrivals_.try_emplace(request, now);
 }
 
 void InvariantChecker::reportViolation(const std::string &line)
@@ -120,8 +122,10 @@
             violations_.push_back("CONFIG: " + host + " reverted from version "
                                   + std::to_string(observed.version));
     }
-    if (attempt.status != 404 && attempt.status != 0 && version > observed.version)
-        observed = {version, attempt.endedAt};
+    // A refusal doesn't show a version: a starting host sends 503 before it has a configuration.
+    const auto arrival = firstArrivals_.find(attempt.id);
+    if (arrival != firstArrivals_.end() && version > observed.version)
+        observed = {version, arrival->second};
 }
 
 void InvariantChecker::checkSingleResponse(const Attempt &attempt, const std::string &response)
--- a/tests/soak/invariant_checker.h
+++ b/tests/soak/invariant_checker.h
@@ -86,7 +86,7 @@
         std::string upstream;
         TimeRange range;
     };
-    /// Highest version that an incarnation has served, and when this was first observed.
+    /// Highest version of which an upstream has seen the effect, and since when.
     struct ObservedVersion
     {
         int version = 0;
@@ -106,6 +106,8 @@
     std::vector<Clock::time_point> versionTimes_;
     std::map<std::pair<int, int>, ObservedVersion> observedVersions_;
     std::vector<Arrival> arrivals_;
+    /// By request id.
+    std::map<std::string, Clock::time_point> firstArrivals_;
     std::vector<Attempt> attempts_;
     std::vector<Drain> drains_;
     std::vector<std::string> violations_;
